--- /dev/null
+++ b/Makefile
@@ -0,0 +1,45 @@
+PYTHON ?= python3
+VENV := .venv
+BIN := $(VENV)/bin
+STAMP := $(VENV)/.installed
+
+.PHONY: setup demo fleet test lint format bench capacity clean
+
+setup: $(STAMP)
+
+$(STAMP): requirements.txt pyproject.toml
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --disable-pip-version-check -r requirements.txt
+	$(BIN)/pip install --quiet --disable-pip-version-check --no-deps --no-build-isolation -e .
+	touch $(STAMP)
+
+# Runs both users' requests through a fleet and checks every promise shown.
+demo: setup
+	$(BIN)/python -m standins.demo
+
+# Runs the demo's fleet until interrupted.
+fleet: setup
+	$(BIN)/python -m standins.demo --keep
+
+test: setup
+	$(BIN)/python -m pytest
+
+lint: setup
+	$(BIN)/ruff check src standins bench tests
+	$(BIN)/ruff format --check src standins bench tests
+	$(BIN)/flake8 src
+	$(BIN)/mypy
+	$(BIN)/lint-imports
+
+format: setup
+	$(BIN)/ruff check --fix src standins bench tests
+	$(BIN)/ruff format src standins bench tests
+
+bench: setup
+	$(BIN)/python -m bench
+
+capacity: setup
+	$(BIN)/python -m bench.capacity
+
+clean:
+	rm -rf $(VENV)
--- /dev/null
+++ b/src/toucancourse/__init__.py
@@ -0,0 +1,1 @@
+"""A model-aware router for versions and cascades."""
--- /dev/null
+++ b/src/toucancourse/admin/__init__.py
@@ -0,0 +1,1 @@
+"""The administration API."""
--- /dev/null
+++ b/src/toucancourse/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Limits on what is started."""
--- /dev/null
+++ b/src/toucancourse/billing/__init__.py
@@ -0,0 +1,1 @@
+"""Claims, bills and allowances."""
--- /dev/null
+++ b/src/toucancourse/command/__init__.py
@@ -0,0 +1,1 @@
+"""The operator's command-line tool."""
--- /dev/null
+++ b/src/toucancourse/contract/__init__.py
@@ -0,0 +1,1 @@
+"""Operators' objects and the fold of the configuration stream."""
--- /dev/null
+++ b/src/toucancourse/contract/objects.py
@@ -0,0 +1,236 @@
+"""Bodies of the objects that operators publish, and their checks."""
+
+import re
+from collections.abc import Iterator, Mapping
+from typing import Any, Final, NamedTuple, TypedDict
+
+NAME_PATTERN: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.-]{0,63}')
+DIGEST_PATTERN: Final = re.compile('[0-9a-f]{64}')
+WILDCARD: Final = '*'
+MAX_PERCENT: Final = 100
+
+
+class VersionBody(TypedDict):
+    """One version of a model. Prices are micro-units per 1000 tokens."""
+
+    state: str
+    prompt_price: int
+    completion_price: int
+    #: Kind of work -> expected quality in [0, 1]; '*' for all others.
+    quality: dict[str, float]
+
+
+class ContractBody(TypedDict):
+    """What one customer may use and spend."""
+
+    versions: list[str]
+    services: list[str]
+    quality: float
+    #: Micro-units per UTC day.
+    spend: int
+    requests_per_second: float
+    concurrent: int
+    max_output_tokens: int
+    priority: int
+    #: SHA-256 of the API keys, in hexadecimal.
+    keys: list[str]
+
+
+class RolloutBody(TypedDict):
+    """A staged move of a model's traffic to another version."""
+
+    source: str
+    target: str
+    #: Share of new conversations on the target.
+    percent: int
+    state: str
+    on_bad: str
+
+
+class PlaceBody(TypedDict):
+    """Whether operators took a zone or an instance out of service."""
+
+    out: bool
+
+
+class ServiceBody(TypedDict):
+    """A plain service. Repeatable calls are "METHOD /path-prefix"."""
+
+    repeatable: list[str]
+
+
+class OperatorBody(TypedDict):
+    """An operator's token digest and role."""
+
+    token_sha256: str
+    role: str
+
+
+class KeyBody(TypedDict):
+    """A key that signs conversation ids."""
+
+    secret: str
+    state: str
+
+
+class FormatBody(TypedDict):
+    """The newest record format that may be used."""
+
+    active: int
+
+
+class Problem(NamedTuple):
+    """One fault of a body: the key and what is wrong with it."""
+
+    key: str
+    text: str
+
+
+def split_name(name: str) -> tuple[str, str]:
+    """Return kind and identifier of an object name such as "zone/east"."""
+    kind, _, identifier = name.partition('/')
+    return kind, identifier
+
+
+def split_version(version: str) -> tuple[str, str]:
+    """Return model and version of "model@version"."""
+    model, _, number = version.partition('@')
+    return model, number
+
+
+def check_body(kind: str, body: Mapping[str, Any]) -> Iterator[Problem]:
+    """Yield the faults of a body by itself."""
+    fields = FIELDS.get(kind)
+    if fields is None:
+        yield Problem('', f'object kind "{kind}" is unknown')
+        return
+    for key in body:
+        if key not in fields:
+            yield Problem(key, f'key "{key}" is unknown')
+    for key, rule in fields.items():
+        if key not in body:
+            yield Problem(key, f'key "{key}" is missing')
+        elif not rule.check(body[key]):
+            yield Problem(
+                key, f'key "{key}" has {body[key]!r}; allowed is {rule.allowed}'
+            )
+
+
+class Rule(NamedTuple):
+    """A check of one value and its description."""
+
+    allowed: str
+    check: Any
+
+
+def _is_whole(value: object) -> bool:
+    return isinstance(value, int) and not isinstance(value, bool)
+
+
+def _is_number(value: object) -> bool:
+    return isinstance(value, int | float) and not isinstance(value, bool)
+
+
+def _whole(low: int, high: int) -> Rule:
+    return Rule(
+        f'a whole number from {low} to {high}',
+        lambda value: _is_whole(value) and low <= value <= high,
+    )
+
+
+def _number(low: float, high: float) -> Rule:
+    return Rule(
+        f'a number from {low} to {high}',
+        lambda value: _is_number(value) and low <= value <= high,
+    )
+
+
+def _choice(*names: str) -> Rule:
+    return Rule(f'one of {", ".join(names)}', lambda value: value in names)
+
+
+def _texts(pattern: str, allowed: str) -> Rule:
+    compiled = re.compile(pattern)
+    return Rule(
+        f'a list of {allowed}',
+        lambda value: (
+            isinstance(value, list)
+            and all(
+                isinstance(text, str) and compiled.fullmatch(text)
+                for text in value
+            )
+        ),
+    )
+
+
+def _is_quality(value: object) -> bool:
+    return (
+        isinstance(value, dict)
+        and bool(value)
+        and all(
+            _is_number(share) and 0 <= share <= 1 for share in value.values()
+        )
+    )
+
+
+_VERSION_NAME: Final = r'[A-Za-z0-9][\w.-]*@[A-Za-z0-9][\w.-]*'
+_DAY_SPEND_LIMIT: Final = 10**15
+
+#: Object kind -> key -> rule.
+FIELDS: Final[Mapping[str, Mapping[str, Rule]]] = {
+    'version': {
+        'state': _choice('live', 'withdrawn'),
+        'prompt_price': _whole(0, 10**9),
+        'completion_price': _whole(0, 10**9),
+        'quality': Rule('a map of kind to a number in [0, 1]', _is_quality),
+    },
+    'contract': {
+        'versions': _texts(
+            r'[A-Za-z0-9][\w.-]*@([A-Za-z0-9][\w.-]*|\*)',
+            '"model@version" or "model@*"',
+        ),
+        'services': _texts(r'[A-Za-z0-9][\w.-]*', 'service names'),
+        'quality': _number(0, 1),
+        'spend': _whole(0, _DAY_SPEND_LIMIT),
+        'requests_per_second': _number(0.001, 10**6),
+        'concurrent': _whole(1, 10**6),
+        'max_output_tokens': _whole(1, 10**6),
+        'priority': _whole(0, 9),
+        'keys': _texts('[0-9a-f]{64}', 'hexadecimal SHA-256 digests'),
+    },
+    'rollout': {
+        'source': Rule('"model@version"', re.compile(_VERSION_NAME).fullmatch),
+        'target': Rule('"model@version"', re.compile(_VERSION_NAME).fullmatch),
+        'percent': _whole(0, MAX_PERCENT),
+        'state': _choice('running', 'held', 'back', 'done'),
+        'on_bad': _choice('hold', 'back'),
+    },
+    'zone': {
+        'out': Rule('true or false', lambda value: value in (True, False))
+    },
+    'instance': {
+        'out': Rule('true or false', lambda value: value in (True, False)),
+    },
+    'service': {
+        'repeatable': _texts('[A-Z]+ /.*', '"METHOD /path-prefix"'),
+    },
+    'operator': {
+        'token_sha256': Rule(
+            'a hexadecimal SHA-256 digest',
+            lambda value: (
+                isinstance(value, str) and DIGEST_PATTERN.fullmatch(value)
+            ),
+        ),
+        'role': _choice('read', 'operate', 'administer'),
+    },
+    'key': {
+        'secret': Rule(
+            '64 hexadecimal digits',
+            lambda value: (
+                isinstance(value, str) and DIGEST_PATTERN.fullmatch(value)
+            ),
+        ),
+        'state': _choice('signing', 'verifying'),
+    },
+    'format': {'active': _whole(1, 1000)},
+}
--- /dev/null
+++ b/src/toucancourse/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The daemon program."""
--- /dev/null
+++ b/src/toucancourse/daemon/core.py
@@ -0,0 +1,151 @@
+"""What entries and sidecars have in common."""
+
+import secrets
+import threading
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+from loguru import logger
+
+from ..contract.records import STREAM, encode_record
+from ..contract.snapshots import take_snapshot
+from ..errors import LogDownError
+from ..membership.configuration import Configuration
+from ..membership.directory import Directory
+from ..membership.freshness import Freshness
+from ..membership.gossip import Gossip
+from ..membership.reader import LogReader
+from ..platform.instances import HttpInstanceList
+from ..platform.log import HttpLog, Log
+from ..report.metrics import DaemonMetrics
+from ..settings.files import Settings
+from ..web.health import Health
+from ..web.server import Bounds, Server
+
+LIST_SECONDS: Final = 1.0
+MAX_THREADS: Final = 64
+HEALTH_BODY_BYTES: Final = 4096
+HEALTH_BOUNDS: Final = Bounds(4, HEALTH_BODY_BYTES, 10)
+
+
+class Core:
+    """Configuration, membership, health and background tasks."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Build the parts; start() runs them."""
+        self.settings = settings
+        self.instance = settings.text('daemon', 'instance')
+        self.zone = settings.text('daemon', 'zone')
+        self.incarnation = secrets.token_hex(8)
+        stale = settings.number('configuration', 'stale_seconds')
+        timeout = settings.number('platform', 'timeout_seconds')
+        self.timeout = timeout
+        self.heartbeat = settings.number('configuration', 'heartbeat_seconds')
+        self.log: Log = HttpLog(settings.text('platform', 'log_url'), timeout)
+        self.configuration = Configuration()
+        self.freshness = Freshness(self.zone, stale)
+        self.directory = Directory(
+            HttpInstanceList(
+                settings.text('platform', 'instances_url'), timeout
+            ),
+            self.freshness,
+            LIST_SECONDS,
+        )
+        self.reader = LogReader(
+            self.log,
+            self.configuration,
+            self.freshness,
+            self._is_reader,
+            settings.number('configuration', 'poll_seconds'),
+            stale,
+        )
+        self.metrics = DaemonMetrics()
+        self.health = Health(self.find_problem)
+        self.leaving = False
+        self._extra_problem: Callable[[], str] = str
+        self._stop = threading.Event()
+        self._workers = ThreadPoolExecutor(MAX_THREADS, 'task')
+        self._health_server = Server(
+            self.health,
+            settings.text('daemon', 'health_address'),
+            HEALTH_BOUNDS,
+        )
+
+    def start(self) -> None:
+        """Run the reader, the list and the health server."""
+        self.directory.refresh()
+        self.spawn(self.directory.run)
+        self.spawn(self.reader.run)
+        self.every(1.0, self._report)
+        self._health_server.start()
+
+    def spawn(self, task: Callable[[], None]) -> None:
+        """Run a task in the background and log its failure."""
+        self._workers.submit(_guard, task)
+
+    def every(self, seconds: float, action: Callable[[], object]) -> None:
+        """Call an action each period until close()."""
+
+        def repeat() -> None:
+            while not self._stop.wait(seconds):
+                _guard(action)
+
+        self.spawn(repeat)
+
+    def close(self) -> None:
+        """Stop the background tasks."""
+        self._stop.set()
+        self.directory.stop()
+        self.reader.stop()
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def make_gossip(self) -> Gossip:
+        """Return the status exchange for one peer."""
+        return Gossip(self.configuration, self.freshness)
+
+    def find_problem(self) -> str:
+        """Return why this daemon isn't ready, or ''."""
+        if self.leaving:
+            return 'leaving'
+        if not self.configuration.is_ready():
+            return 'no configuration yet'
+        if not self.freshness.is_current():
+            return 'configuration may be out of date'
+        return self._extra_problem()
+
+    def add_check(self, check: Callable[[], str]) -> None:
+        """Add a check of readiness."""
+        self._extra_problem = check
+
+    def write_snapshot_if_due(self) -> None:
+        """Append a snapshot of the configuration if many records came."""
+        state = self.configuration.state
+        limit = self.settings.whole('configuration', 'snapshot_records')
+        since = state.offset - self.configuration.last_snapshot
+        if since < limit or not self.reader_is_first():
+            return
+        try:
+            self.log.append(STREAM, encode_record(take_snapshot(state)))
+        except LogDownError as error:
+            logger.warning('no snapshot written: {}', error)
+
+    def reader_is_first(self) -> bool:
+        """Return True if this instance is its zone's first reader."""
+        return self.directory.is_reader(self.instance, self.zone, 1)
+
+    def _is_reader(self) -> bool:
+        readers = self.settings.whole('configuration', 'readers_per_zone')
+        return self.directory.is_reader(self.instance, self.zone, readers)
+
+    def _report(self) -> None:
+        self.metrics.offset.set(self.configuration.offset)
+        self.metrics.proof_age.set(time.monotonic() - self.freshness.proof)
+
+
+def _guard(task: Callable[[], object]) -> None:
+    try:
+        task()
+    except Exception:  # noqa: BLE001 - a task's fault must not be silent
+        logger.exception('a background task failed')
--- /dev/null
+++ b/src/toucancourse/daemon/entry.py
@@ -0,0 +1,376 @@
+"""The entry role: callers' requests and the administration API."""
+
+import secrets
+import threading
+import time
+import uuid
+from collections.abc import Iterable
+from typing import Final
+
+from loguru import logger
+
+from ..admin.changes import Changes
+from ..admin.routes import AdminHandler
+from ..admission.limits import ContractLimits, RetryBudget
+from ..billing import claims as claim_items
+from ..billing import spend as spend_items
+from ..billing.claims import ClaimBook
+from ..billing.ledger import Ledger, find_gone
+from ..billing.spend import SpendBook
+from ..contract.records import Change
+from ..delivery.callers import authenticate
+from ..delivery.chat import PATH as CHAT_PATH
+from ..delivery.chat import ChatHandler
+from ..delivery.entry import Decisions, EntryParts
+from ..delivery.keyed import Claims
+from ..delivery.links import PROTOCOL_VERSION, Link
+from ..delivery.pins import Pins
+from ..delivery.pool import Pool
+from ..delivery.ratings import RatingSampler
+from ..delivery.services import PREFIX as SERVICE_PREFIX
+from ..delivery.services import ServiceHandler
+from ..errors import CourseError, LeavingError, LogDownError, NotFoundError
+from ..platform.instances import Instance
+from ..platform.rater import HttpRater
+from ..protocol import peer_pb2
+from ..report.metrics import ChatMetrics
+from ..routing import quality as quality_items
+from ..routing.endpoints import PowerOfTwo, PrefixAffinity
+from ..routing.quality import QualityBook
+from ..settings.files import Settings
+from ..streams.appender import Appender
+from ..streams.follower import Follower
+from ..web.messages import (
+    Environ,
+    Request,
+    StartResponse,
+    make_error,
+    make_json,
+    read_request,
+    send,
+)
+from ..web.server import Bounds, Server
+from .core import Core
+
+POOL_SECONDS: Final = 0.5
+CHECK_SECONDS: Final = 0.25
+SWEEP_SECONDS: Final = 1.0
+IDLE_SECONDS: Final = 10.0
+STEP_SECONDS: Final = 0.02
+SECRET_BYTES: Final = 32
+ADMIN_THREADS: Final = 8
+ADMIN_BODY_BYTES: Final = 1_048_576
+#: Records of a small stream after which a snapshot is due.
+STREAM_SNAPSHOT_RECORDS: Final = 2000
+
+
+class Entry:
+    """Wires the entry's parts."""
+
+    def __init__(self, settings: Settings) -> None:
+        """Build the parts; start() serves."""
+        core = Core(settings)
+        self.core = core
+        self._settings = settings
+        self._in_flight = 0
+        self._refuse = False
+        self._count = threading.Lock()
+        self._absent: dict[str, float] = {}
+        poll = settings.number('configuration', 'poll_seconds')
+        self._claim_follower = Follower(
+            core.log, claim_items.STREAM, claim_items.CODEC, ClaimBook(), poll
+        )
+        self._spend_follower = Follower(
+            core.log, spend_items.STREAM, spend_items.CODEC, SpendBook(), poll
+        )
+        self._quality_follower = Follower(
+            core.log,
+            quality_items.STREAM,
+            quality_items.CODEC,
+            QualityBook(),
+            poll,
+        )
+        self._hold_seconds = settings.number('entry', 'allowance_hold_seconds')
+        self.ledger = Ledger(
+            core.incarnation, core.log, self._spend_follower, self._hold_seconds
+        )
+        self.pool = Pool(
+            core.directory,
+            self._make_link,
+            core.instance,
+            settings.whole('entry', 'max_peers'),
+        )
+        self._appender = Appender(
+            core.log,
+            claim_items.STREAM,
+            settings.number('entry', 'claim_seconds'),
+        )
+        self.claims = Claims(
+            core.incarnation, self._appender, self._claim_follower, self.pool
+        )
+        near = PowerOfTwo(core.zone)
+        self.parts = EntryParts(
+            core.instance,
+            core.incarnation,
+            core.configuration,
+            core.freshness,
+            core.directory,
+            self.pool,
+            self.ledger,
+            ContractLimits(),
+            RetryBudget(settings.number('entry', 'retry_share')),
+            Decisions(),
+            near,
+            PrefixAffinity(near),
+            settings.number('entry', 'request_seconds'),
+        )
+        rater_url = settings.text('platform', 'rater_url')
+        self._sampler = RatingSampler(
+            HttpRater(rater_url, core.timeout) if rater_url else None,
+            settings.number('entry', 'rating_share'),
+            core.log,
+            self._quality_follower,
+        )
+        metrics = ChatMetrics()
+        pins = Pins(self._appender, self._claim_follower)
+        self._chat = ChatHandler(self.parts, pins, self._sampler, metrics)
+        self._services = ServiceHandler(self.parts, self.claims, metrics)
+        self._max_body = settings.whole('entry', 'max_body_bytes')
+        self._caller_server = Server(
+            self.answer_caller,
+            settings.text('entry', 'caller_address'),
+            Bounds(
+                settings.whole('entry', 'threads'),
+                self._max_body,
+                settings.whole('entry', 'idle_caller_seconds'),
+            ),
+        )
+        self._changes = Changes(core.log, core.configuration, core.reader)
+        admin = AdminHandler(
+            self.parts,
+            self._changes,
+            self._spend_follower,
+            settings.text('entry', 'operator_token_sha256'),
+        )
+        self._admin_server = Server(
+            admin,
+            settings.text('entry', 'admin_address'),
+            Bounds(ADMIN_THREADS, ADMIN_BODY_BYTES, 60),
+        )
+
+    def start(self) -> None:
+        """Serve callers and operators."""
+        core = self.core
+        core.start()
+        core.directory.listen(self.pool.update)
+        core.configuration.listen(self.pool.wake)
+        self.pool.update()
+        for follower in (
+            self._claim_follower,
+            self._spend_follower,
+            self._quality_follower,
+        ):
+            core.spawn(follower.run)
+        core.spawn(self._appender.run)
+        core.spawn(self._sampler.run)
+        core.spawn(
+            lambda: self.ledger.run(
+                self._settings.number('entry', 'bill_seconds'),
+                self._tell_durable,
+            )
+        )
+        core.every(CHECK_SECONDS, self.pool.check)
+        core.every(SWEEP_SECONDS, self._sweep)
+        core.every(IDLE_SECONDS, self._give_back)
+        core.add_check(self._find_problem)
+        self._caller_server.start()
+        self._admin_server.start()
+        logger.info(
+            'entry serves callers at {}',
+            self._settings.text('entry', 'caller_address'),
+        )
+
+    def answer_caller(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one WSGI request of a caller."""
+        health = self.core.health.answer(environ.get('PATH_INFO', ''))
+        if health is not None:
+            return send(health, start_response)
+        with self._count:
+            self._in_flight += 1
+        try:
+            request = read_request(environ, self._max_body)
+            return self._route(request, start_response)
+        except CourseError as error:
+            return send(make_error(error), start_response)
+        finally:
+            with self._count:
+                self._in_flight -= 1
+
+    def drain(self) -> None:
+        """Refuse new work, finish what runs, bill it, give back, stop."""
+        core = self.core
+        core.leaving = True
+        for link in self.pool.links():
+            link.leaving_self = True
+        self.pool.wake()
+        # The balancer needs a moment to see /readyz fail; callers that it
+        # still sends meanwhile are served.
+        time.sleep(core.settings.number('daemon', 'drain_notice_seconds'))
+        self._refuse = True
+        limit = time.monotonic() + core.settings.number(
+            'daemon', 'drain_seconds'
+        )
+        while self._in_flight and time.monotonic() < limit:
+            time.sleep(STEP_SECONDS)
+        self._caller_server.stop_accepting()
+        self.ledger.stop()
+        while time.monotonic() < limit:
+            if self.ledger.flush_once(self._tell_durable) and not (
+                self.ledger.unbilled() or self.claims.active()
+            ):
+                break
+            time.sleep(STEP_SECONDS)
+        self._return_allowances()
+        self._appender.stop()
+        self._sampler.share()
+        self._sampler.stop()
+        # Sidecars drop their copies of the bills just confirmed.
+        time.sleep(core.heartbeat / 2)
+        self.pool.close()
+        for follower in (
+            self._claim_follower,
+            self._spend_follower,
+            self._quality_follower,
+        ):
+            follower.stop()
+        core.close()
+        logger.info('entry stopped')
+
+    def _route(
+        self,
+        request: Request,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        if self._refuse:
+            raise LeavingError('this entry is leaving; try another one')
+        if request.path == CHAT_PATH and request.method == 'POST':
+            return self._chat.serve(request, start_response)
+        if request.path.startswith(SERVICE_PREFIX):
+            return self._services.serve(request, start_response)
+        if request.path == '/v1/models' and request.method == 'GET':
+            return send(make_json(self._list_models(request)), start_response)
+        raise NotFoundError(
+            f'path "{request.path}" with method "{request.method}" '
+            'does not exist',
+        )
+
+    def _list_models(self, request: Request) -> dict[str, object]:
+        state = self.core.configuration.state
+        caller = authenticate(state, request.bearer())
+        versions = state.usable(caller.customer)
+        models = sorted({version.partition('@')[0] for version in versions})
+        return {
+            'object': 'list',
+            'data': [
+                {
+                    'id': name,
+                    'object': 'model',
+                    'created': 0,
+                    'owned_by': 'toucancourse',
+                }
+                for name in ('auto', *models, *versions)
+            ],
+        }
+
+    def _make_link(self, instance: Instance) -> Link:
+        hello = peer_pb2.Hello(
+            version=PROTOCOL_VERSION,
+            instance=self.core.instance,
+            zone=self.core.zone,
+            incarnation=self.core.incarnation,
+        )
+        return Link(
+            instance,
+            hello,
+            self.core.make_gossip,
+            self._adopt_bill,
+            self.core.heartbeat,
+        )
+
+    def _adopt_bill(self, copy: peer_pb2.BillCopy) -> None:
+        state = self.core.configuration.state
+        self.ledger.adopt(copy, state.version(copy.version))
+
+    def _tell_durable(self, requests: list[str]) -> None:
+        for link in self.pool.links():
+            link.settle(requests)
+
+    def _find_problem(self) -> str:
+        if not any(link.is_usable() for link in self.pool.links()):
+            return 'no endpoint is connected'
+        return ''
+
+    def _sweep(self) -> None:
+        self.claims.sweep()
+        self.core.write_snapshot_if_due()
+        self._ensure_key()
+        if self.core.reader_is_first():
+            self._write_stream_snapshots()
+        self._retire_gone()
+
+    def _write_stream_snapshots(self) -> None:
+        for follower in (
+            self._claim_follower,
+            self._spend_follower,
+            self._quality_follower,
+        ):
+            if follower.records_since_snapshot >= STREAM_SNAPSHOT_RECORDS:
+                try:
+                    follower.write_snapshot()
+                except LogDownError as error:
+                    logger.warning('no snapshot written: {}', error)
+
+    def _ensure_key(self) -> None:
+        """Create the first key for conversation ids; one entry's is kept."""
+        state = self.core.configuration.state
+        if not self.core.configuration.is_ready() or state.keys():
+            return
+        if state.revision('key/first') or not self.core.reader_is_first():
+            return
+        body = {'secret': secrets.token_hex(SECRET_BYTES), 'state': 'signing'}
+        change = Change(str(uuid.uuid4()), 'key/first', 0, 'toucancourse', body)
+        self._changes.submit(change, 1.0)
+
+    def _give_back(self) -> None:
+        try:
+            self.ledger.give_back()
+        except LogDownError as error:
+            logger.warning('allowances not given back: {}', error)
+
+    def _return_allowances(self) -> None:
+        try:
+            self.ledger.give_back(everything=True)
+        except LogDownError as error:
+            logger.warning('allowances not given back: {}', error)
+
+    def _retire_gone(self) -> None:
+        """Return what entries hold that nobody has heard of for long."""
+        with self._spend_follower.lock:
+            holders = self._spend_follower.book.holders()
+        live = {self.core.incarnation}
+        for link in self.pool.links():
+            live.update(link.entry_incarnations)
+        gone = find_gone(holders, live)
+        now = time.monotonic()
+        self._absent = {name: self._absent.get(name, now) for name in gone}
+        for name, since in self._absent.items():
+            # Twice the time after which the holder itself stops spending.
+            if now - since > self._hold_seconds * 2:
+                try:
+                    self.ledger.retire(name)
+                except LogDownError as error:
+                    logger.warning('allowances not returned: {}', error)
--- /dev/null
+++ b/src/toucancourse/delivery/__init__.py
@@ -0,0 +1,1 @@
+"""Requests from caller to endpoint and answers back."""
--- /dev/null
+++ b/src/toucancourse/delivery/links.py
@@ -0,0 +1,353 @@
+"""The entry's end of one peer stream."""
+
+import itertools
+import random
+import threading
+import time
+from collections.abc import Callable, Iterator
+from typing import Final
+
+import grpc
+from loguru import logger
+
+from ..errors import UnavailableError, UnknownOutcomeError
+from ..membership.gossip import Gossip
+from ..platform.instances import Instance
+from ..protocol import peer_pb2, peer_pb2_grpc
+from ..protocol.outbox import Outbox
+from .attempts import Attempt
+
+PROTOCOL_VERSION: Final = 1
+MIN_BACKOFF_SECONDS: Final = 0.05
+MAX_BACKOFF_SECONDS: Final = 2.0
+#: Heartbeats without a message after which the stream is broken.
+SILENT_HEARTBEATS: Final = 4
+#: How long attempts wait for their sidecar to come back.
+REATTACH_SECONDS: Final = 3.0
+MAX_MESSAGE_BYTES: Final = 1_073_741_824
+
+Item = (
+    peer_pb2.Open
+    | peer_pb2.Cancel
+    | peer_pb2.Inquiry
+    | peer_pb2.Settled
+    | int
+    | None
+)
+AdoptBill = Callable[[peer_pb2.BillCopy], None]
+#: Attempt numbers are unique within the process, over all links.
+_attempt_numbers = itertools.count(1)
+
+
+def next_attempt() -> int:
+    """Return a new attempt number."""
+    return next(_attempt_numbers)
+
+
+class Link:
+    """Keeps a stream to one sidecar and the attempts that use it."""
+
+    def __init__(
+        self,
+        instance: Instance,
+        hello: peer_pb2.Hello,
+        make_gossip: Callable[[], Gossip],
+        adopt_bill: AdoptBill,
+        heartbeat_seconds: float,
+    ) -> None:
+        """Keep the parts; run() connects."""
+        self.instance = instance
+        self.sidecar = peer_pb2.Hello()
+        self.load = peer_pb2.Load()
+        self.connected = False
+        self.leaving_self = False
+        #: Entry instance -> offset, as this sidecar hears them.
+        self.entry_offsets: dict[str, int] = {}
+        #: Incarnations of entries that this sidecar has heard of.
+        self.entry_incarnations: set[str] = set()
+        self._hello = hello
+        self._make_gossip = make_gossip
+        self._adopt_bill = adopt_bill
+        self._heartbeat = heartbeat_seconds
+        self._gossip = make_gossip()
+        self._outbox: Outbox[Item] = Outbox()
+        self._lock = threading.Lock()
+        self._attempts: dict[int, Attempt] = {}
+        self._fates: dict[tuple[str, int], list[peer_pb2.Fate]] = {}
+        self._fated = threading.Condition(self._lock)
+        self._stop = threading.Event()
+        self._last_heard = 0.0
+        self._broken_since = time.monotonic()
+        self._call: grpc.Call | None = None
+
+    @property
+    def offset(self) -> int:
+        """Return the configuration offset that the sidecar reached."""
+        return self._gossip.offset or 0
+
+    def is_usable(self) -> bool:
+        """Return True if new work may be sent."""
+        silent = time.monotonic() - self._last_heard
+        return (
+            self.connected
+            and not self._gossip.leaving
+            and silent < self._heartbeat * SILENT_HEARTBEATS / 2
+        )
+
+    def is_leaving(self) -> bool:
+        """Return True if the sidecar said that it leaves."""
+        return self._gossip.leaving
+
+    def in_flight(self) -> int:
+        """Return the open attempts of this entry."""
+        return len(self._attempts)
+
+    def open(self, request: peer_pb2.Open) -> Attempt:
+        """Start an attempt; the request gets its number unless it has one."""
+        attempt = Attempt(request)
+        if not request.attempt:
+            request.attempt = next_attempt()
+        with self._lock:
+            self._attempts[request.attempt] = attempt
+        if not self.connected:
+            self._attempts.pop(request.attempt, None)
+            attempt.fail(self._make_refusal())
+            return attempt
+        self._outbox.put(request)
+        return attempt
+
+    def cancel(self, attempt: Attempt) -> None:
+        """Stop an attempt whose answer is no longer wanted."""
+        number = attempt.request.attempt
+        if attempt.has_ended():
+            return
+        self._outbox.put(peer_pb2.Cancel(attempt=number))
+
+    def settle(self, requests: list[str]) -> None:
+        """Tell the sidecar which bills are durable."""
+        self._outbox.put(peer_pb2.Settled(requests=requests), urgent=False)
+
+    def inquire(
+        self,
+        incarnation: str,
+        attempt: int,
+        timeout: float,
+    ) -> peer_pb2.Fate | None:
+        """Return what became of another entry's attempt, if answered."""
+        key = (incarnation, attempt)
+        with self._lock:
+            self._fates[key] = []
+        self._outbox.put(
+            peer_pb2.Inquiry(attempt=attempt, incarnation=incarnation)
+        )
+        with self._fated:
+            self._fated.wait_for(lambda: self._fates[key], timeout)
+            found = self._fates.pop(key)
+        return found[0] if found else None
+
+    def wake(self) -> None:
+        """Send a message now, with the records that the peer lacks."""
+        self._outbox.put(None)
+
+    def run(self) -> None:
+        """Connect, and connect again, until stopped."""
+        backoff = MIN_BACKOFF_SECONDS
+        while not self._stop.is_set():
+            if self._stream():
+                backoff = MIN_BACKOFF_SECONDS
+            self._break()
+            self._stop.wait(backoff * random.uniform(0.5, 1))
+            backoff = min(backoff * 2, MAX_BACKOFF_SECONDS)
+        self._fail_attempts(lambda attempt: True)
+
+    def stop(self) -> None:
+        """End run()."""
+        self._stop.set()
+        self._outbox.close()
+        if self._call is not None:
+            self._call.cancel()
+
+    def check_silence(self) -> None:
+        """Break a stream that is silent; fail attempts left too long."""
+        now = time.monotonic()
+        silent = now - self._last_heard
+        if self.connected and silent > self._heartbeat * SILENT_HEARTBEATS:
+            logger.warning('sidecar "{}" is silent', self.instance.name)
+            if self._call is not None:
+                self._call.cancel()
+        if not self.connected and now - self._broken_since > REATTACH_SECONDS:
+            self._fail_attempts(lambda attempt: True)
+
+    def _stream(self) -> bool:
+        """Carry one stream; return True if the sidecar answered."""
+        options = [
+            ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
+            ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
+            ('grpc.use_local_subchannel_pool', 1),
+        ]
+        outbox: Outbox[Item] = Outbox()
+        heard = False
+        with grpc.insecure_channel(self.instance.address, options) as channel:
+            stub = peer_pb2_grpc.PeerStub(channel)
+            gossip = self._make_gossip()
+            gossip.zone = self.instance.zone
+            call = stub.Connect(self._messages(outbox, gossip))
+            self._call = call
+            self._outbox = outbox
+            try:
+                for message in call:
+                    self._last_heard = time.monotonic()
+                    if not heard:
+                        self._gossip = gossip
+                        self._attach(message.hello)
+                        heard = True
+                    self._receive(message, gossip)
+            except grpc.RpcError as error:
+                logger.debug(
+                    'stream to "{}" ended: {}', self.instance.name, error
+                )
+            finally:
+                outbox.close()
+        return heard
+
+    def _attach(self, hello: peer_pb2.Hello) -> None:
+        """Take the sidecar's Hello and go on with open attempts."""
+        same = self.sidecar.incarnation == hello.incarnation
+        self.sidecar = hello
+        self.connected = True
+        self.entry_incarnations.clear()
+        if not same:
+            self._fail_attempts(lambda attempt: True)
+        with self._lock:
+            attempts = list(self._attempts.values())
+        for attempt in attempts:
+            self._outbox.put(
+                peer_pb2.Inquiry(
+                    attempt=attempt.request.attempt,
+                    incarnation=self._hello.incarnation,
+                    next_seq=attempt.next_seq,
+                )
+            )
+
+    def _break(self) -> None:
+        """Fail at once the attempts that can be repeated elsewhere."""
+        if self.connected:
+            self._broken_since = time.monotonic()
+        self.connected = False
+        self._fail_attempts(_is_repeatable)
+
+    def _fail_attempts(self, choose: Callable[[Attempt], bool]) -> None:
+        with self._lock:
+            chosen = [
+                number
+                for number, attempt in self._attempts.items()
+                if choose(attempt)
+            ]
+            failed = [self._attempts.pop(number) for number in chosen]
+        for attempt in failed:
+            error = self._make_loss() if attempt.sent else self._make_refusal()
+            attempt.fail(error)
+
+    def _make_loss(self) -> UnknownOutcomeError:
+        return UnknownOutcomeError(
+            f'the answer of "{self.instance.name}" was lost'
+        )
+
+    def _make_refusal(self) -> UnavailableError:
+        return UnavailableError(
+            f'endpoint "{self.instance.name}" is not connected'
+        )
+
+    def _messages(
+        self,
+        outbox: Outbox[Item],
+        gossip: Gossip,
+    ) -> Iterator[peer_pb2.EntryMessage]:
+        yield peer_pb2.EntryMessage(
+            hello=self._hello,
+            status=gossip.make_status(leaving=self.leaving_self),
+        )
+        for batch in outbox.batches(self._heartbeat):
+            yield self._compose(batch, gossip)
+
+    def _compose(
+        self,
+        batch: list[Item],
+        gossip: Gossip,
+    ) -> peer_pb2.EntryMessage:
+        message = peer_pb2.EntryMessage(records=gossip.take_records())
+        for item in batch:
+            if isinstance(item, peer_pb2.Open):
+                attempt = self._attempts.get(item.attempt)
+                if attempt is not None:
+                    attempt.sent = True
+                    message.opens.append(item)
+            elif isinstance(item, peer_pb2.Cancel):
+                message.cancels.append(item)
+            elif isinstance(item, peer_pb2.Inquiry):
+                message.inquiries.append(item)
+            elif isinstance(item, peer_pb2.Settled):
+                message.settled.requests.extend(item.requests)
+            elif isinstance(item, int):
+                message.closed.append(item)
+        if not batch or None in batch or gossip.is_due(self._heartbeat):
+            message.status.CopyFrom(
+                gossip.make_status(leaving=self.leaving_self)
+            )
+        return message
+
+    def _receive(
+        self,
+        message: peer_pb2.SidecarMessage,
+        gossip: Gossip,
+    ) -> None:
+        attempts = self._attempts
+        for frame in message.frames:
+            attempt = attempts.get(frame.attempt)
+            if attempt is None:
+                continue
+            attempt.deliver(frame)
+            if attempt.has_ended():
+                attempts.pop(frame.attempt, None)
+                self._outbox.put(frame.attempt, urgent=False)
+        if message.records:
+            gossip.receive_records(message.records)
+        if message.HasField('status'):
+            gossip.receive(message.status)
+        if message.HasField('load'):
+            self.load = message.load
+        for row in message.entries:
+            self._receive_entry(row)
+        for fate in message.fates:
+            self._receive_fate(fate)
+        for copy in message.bills:
+            self._adopt_bill(copy)
+
+    def _receive_entry(self, row: peer_pb2.EntryOffset) -> None:
+        if row.gone:
+            self.entry_incarnations.discard(row.incarnation)
+            self.entry_offsets.pop(row.instance, None)
+            return
+        self.entry_offsets[row.instance] = row.offset
+        self.entry_incarnations.add(row.incarnation)
+
+    def _receive_fate(self, fate: peer_pb2.Fate) -> None:
+        if fate.incarnation == self._hello.incarnation:
+            attempt = self._attempts.pop(fate.attempt, None)
+            if attempt is not None and fate.state == 'never':
+                # The sidecar never saw it and now never will.
+                attempt.fail(self._make_refusal())
+            elif attempt is not None:
+                attempt.fail(self._make_loss())
+            return
+        with self._fated:
+            waiting = self._fates.get((fate.incarnation, fate.attempt))
+            if waiting is not None:
+                waiting.append(fate)
+                self._fated.notify_all()
+
+
+def _is_repeatable(attempt: Attempt) -> bool:
+    return not attempt.sent or (
+        attempt.request.idempotent and attempt.next_seq == 0
+    )
--- /dev/null
+++ b/src/toucancourse/delivery/peers.py
@@ -0,0 +1,279 @@
+"""The sidecar's end of the peer streams."""
+
+import threading
+import time
+from collections.abc import Callable, Iterator
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final, NamedTuple
+
+import grpc
+from loguru import logger
+
+from ..errors import LeavingError, UnavailableError
+from ..membership.gossip import Gossip
+from ..protocol import peer_pb2, peer_pb2_grpc
+from ..protocol.outbox import Outbox
+from .dispatch import Dispatcher
+from .running import Attempts, Bills, Emit, Running
+
+PROTOCOL_VERSION: Final = 1
+#: How long an entry may be gone before its work is cancelled.
+REATTACH_SECONDS: Final = 5.0
+#: Threads for attempts that are being refused.
+SPARE_WORKERS: Final = 16
+
+Item = peer_pb2.Frame | peer_pb2.Fate | peer_pb2.BillCopy | None
+
+
+class Identity(NamedTuple):
+    """What a sidecar says of itself in its Hello."""
+
+    instance: str
+    zone: str
+    incarnation: str
+    kind: str
+    slots: int
+
+
+class PeerServicer(peer_pb2_grpc.PeerServicer):
+    """Serves one stream for each connected entry."""
+
+    def __init__(
+        self,
+        identity: Identity,
+        dispatcher: Dispatcher,
+        make_gossip: Callable[[], Gossip],
+        make_load: Callable[[], peer_pb2.Load],
+        heartbeat_seconds: float,
+        linger_seconds: float,
+    ) -> None:
+        """Keep the parts."""
+        self._identity = identity
+        self._dispatcher = dispatcher
+        self._make_gossip = make_gossip
+        self._make_load = make_load
+        self._heartbeat = heartbeat_seconds
+        self._linger = linger_seconds
+        self._attempts = Attempts()
+        self._streams: dict[str, Outbox[Item]] = {}
+        #: Incarnation -> instance and offset of each connected entry.
+        self._entries: dict[str, tuple[str, int]] = {}
+        self._gone: dict[str, float] = {}
+        self._workers = ThreadPoolExecutor(
+            identity.slots * 2 + SPARE_WORKERS, 'attempt'
+        )
+        self.bills = Bills()
+        self.leaving = False
+
+    def Connect(  # noqa: N802 - the name is the protocol's
+        self,
+        request_iterator: Iterator[peer_pb2.EntryMessage],
+        context: grpc.ServicerContext,
+    ) -> Iterator[peer_pb2.SidecarMessage]:
+        """Yield messages to one entry until either side ends the stream."""
+        first = next(request_iterator)
+        incarnation = first.hello.incarnation
+        gossip = self._make_gossip()
+        gossip.zone = first.hello.zone
+        outbox: Outbox[Item] = Outbox(self._linger)
+        self._streams[incarnation] = outbox
+        context.add_callback(outbox.close)
+        reader = threading.Thread(
+            target=self._read,
+            args=(request_iterator, incarnation, gossip, outbox),
+            daemon=True,
+        )
+        gossip.instance = first.hello.instance
+        self._handle(first, incarnation, gossip, outbox)
+        reader.start()
+        yield self._greet()
+        told: dict[str, tuple[str, int]] = {}
+        for batch in outbox.batches(self._heartbeat):
+            yield self._compose(batch, gossip, told)
+        if self._streams.get(incarnation) is outbox:
+            del self._streams[incarnation]
+            self._entries.pop(incarnation, None)
+            self._gone[incarnation] = time.monotonic()
+
+    def wake(self) -> None:
+        """Send every entry a message now."""
+        for outbox in list(self._streams.values()):
+            outbox.put(None)
+
+    def close(self) -> None:
+        """End all streams after what is queued."""
+        for outbox in list(self._streams.values()):
+            outbox.close()
+        self._workers.shutdown(wait=True)
+
+    def tend_gone(self) -> None:
+        """Cancel the work of entries that are gone; hand over their bills."""
+        now = time.monotonic()
+        for incarnation, moment in list(self._gone.items()):
+            if incarnation in self._streams:
+                del self._gone[incarnation]
+            elif now - moment > REATTACH_SECONDS:
+                self._attempts.cancel_all(incarnation)
+        streams = sorted(self._streams.items())
+        waiting = {
+            name
+            for name, moment in self._gone.items()
+            if now - moment <= REATTACH_SECONDS
+        }
+        if streams:
+            for copy in self.bills.orphans(waiting | set(self._streams)):
+                streams[0][1].put(copy)
+
+    def _greet(self) -> peer_pb2.SidecarMessage:
+        load = self._make_load()
+        hello = peer_pb2.Hello(
+            version=PROTOCOL_VERSION,
+            instance=self._identity.instance,
+            zone=self._identity.zone,
+            incarnation=self._identity.incarnation,
+            kind=self._identity.kind,
+            offers=load.offers,
+            slots=self._identity.slots,
+        )
+        return peer_pb2.SidecarMessage(hello=hello, load=load)
+
+    def _read(
+        self,
+        messages: Iterator[peer_pb2.EntryMessage],
+        incarnation: str,
+        gossip: Gossip,
+        outbox: Outbox[Item],
+    ) -> None:
+        try:
+            for message in messages:
+                self._handle(message, incarnation, gossip, outbox)
+        except grpc.RpcError:
+            logger.debug('entry "{}" disconnected', incarnation)
+        except Exception:  # noqa: BLE001 - iteration ends with bare errors
+            logger.debug('stream of entry "{}" ended', incarnation)
+        finally:
+            outbox.close()
+
+    def _handle(
+        self,
+        message: peer_pb2.EntryMessage,
+        incarnation: str,
+        gossip: Gossip,
+        outbox: Outbox[Item],
+    ) -> None:
+        gossip.receive_records(message.records)
+        if message.HasField('status'):
+            gossip.receive(message.status)
+            self._entries[incarnation] = (
+                gossip.instance,
+                message.status.offset,
+            )
+        for request in message.opens:
+            self._open(request, incarnation, outbox)
+        for cancel in message.cancels:
+            running = self._attempts.find((incarnation, cancel.attempt))
+            if running is not None:
+                running.cancel()
+        for inquiry in message.inquiries:
+            self._inquire(inquiry, incarnation, outbox)
+        for attempt in message.closed:
+            ended = self._attempts.find((incarnation, attempt))
+            if ended is not None:
+                ended.forget()
+        if message.HasField('settled'):
+            self.bills.settle(list(message.settled.requests))
+
+    def _open(
+        self,
+        request: peer_pb2.Open,
+        incarnation: str,
+        outbox: Outbox[Item],
+    ) -> None:
+        running = Running(request, _make_emit(outbox), self.bills.keep)
+        try:
+            fresh = self._attempts.start(
+                (incarnation, request.attempt), running
+            )
+        except KeyError:
+            return
+        if fresh and not self.leaving:
+            self._workers.submit(self._dispatcher.run, running)
+        elif fresh:
+            running.send_end(LeavingError('the endpoint is leaving'))
+        else:
+            running.send_end(UnavailableError('the attempt was given up'))
+
+    def _inquire(
+        self,
+        inquiry: peer_pb2.Inquiry,
+        incarnation: str,
+        outbox: Outbox[Item],
+    ) -> None:
+        key = (inquiry.incarnation, inquiry.attempt)
+        fate = peer_pb2.Fate(
+            attempt=inquiry.attempt, incarnation=inquiry.incarnation
+        )
+        try:
+            running = self._attempts.inquire(key)
+        except KeyError:
+            fate.state = 'forgotten'
+            outbox.put(fate)
+            return
+        if running is not None and inquiry.incarnation == incarnation:
+            running.resend(inquiry.next_seq, _make_emit(outbox))
+            return
+        _tell_fate(fate, running)
+        outbox.put(fate)
+
+    def _compose(
+        self,
+        batch: list[Item],
+        gossip: Gossip,
+        told: dict[str, tuple[str, int]],
+    ) -> peer_pb2.SidecarMessage:
+        message = peer_pb2.SidecarMessage()
+        for item in batch:
+            if isinstance(item, peer_pb2.Frame):
+                message.frames.append(item)
+            elif isinstance(item, peer_pb2.Fate):
+                message.fates.append(item)
+            elif isinstance(item, peer_pb2.BillCopy):
+                message.bills.append(item)
+        if batch and message.frames and not gossip.is_due(self._heartbeat):
+            return message
+        message.records.extend(gossip.take_records())
+        message.status.CopyFrom(gossip.make_status(leaving=self.leaving))
+        message.load.CopyFrom(self._make_load())
+        for incarnation, row in list(self._entries.items()):
+            if told.get(incarnation) != row:
+                told[incarnation] = row
+                message.entries.add(
+                    instance=row[0], offset=row[1], incarnation=incarnation
+                )
+        for incarnation in told.keys() - self._entries.keys():
+            instance, _ = told.pop(incarnation)
+            message.entries.add(
+                instance=instance, incarnation=incarnation, gone=True
+            )
+        return message
+
+
+def _make_emit(outbox: Outbox[Item]) -> Emit:
+    def emit(frame: peer_pb2.Frame) -> None:
+        is_data = not (frame.HasField('head') or frame.HasField('end'))
+        outbox.put(frame, urgent=not is_data)
+
+    return emit
+
+
+def _tell_fate(fate: peer_pb2.Fate, running: Running | None) -> None:
+    if running is None:
+        fate.state = 'never'
+    elif running.end is None:
+        fate.state = 'running'
+    else:
+        fate.state = 'ended'
+        fate.data = running.body()
+        fate.end.CopyFrom(running.end)
+        if running.head is not None:
+            fate.head.CopyFrom(running.head)
--- /dev/null
+++ b/src/toucancourse/delivery/pool.py
@@ -0,0 +1,117 @@
+"""The entry's links to sidecars."""
+
+import threading
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+from ..contract.state import State
+from ..membership.directory import Directory, rank
+from ..platform.instances import Instance
+from ..routing.endpoints import Outliers, View
+from .links import Link
+
+MAX_LINK_THREADS: Final = 4000
+
+
+class Pool:
+    """Links to the listed sidecars, at most a set number of them."""
+
+    def __init__(
+        self,
+        directory: Directory,
+        make_link: Callable[[Instance], Link],
+        name: str,
+        max_peers: int,
+    ) -> None:
+        """Keep the parts; update() opens and closes links."""
+        self._directory = directory
+        self._make_link = make_link
+        self._name = name
+        self._max_peers = max_peers
+        self._lock = threading.Lock()
+        self._links: dict[str, Link] = {}
+        self._workers = ThreadPoolExecutor(MAX_LINK_THREADS, 'link')
+        self.outliers = Outliers()
+
+    def links(self) -> list[Link]:
+        """Return all links."""
+        return list(self._links.values())
+
+    def find(self, instance: str) -> Link | None:
+        """Return the link to an instance."""
+        return self._links.get(instance)
+
+    def serving(self, state: State, offer: str) -> dict[str, Link]:
+        """Return usable links whose endpoint serves a version or service."""
+        return {
+            name: link
+            for name, link in list(self._links.items())
+            if link.is_usable()
+            and offer in link.load.offers
+            and not state.is_out(link.sidecar.zone, name)
+        }
+
+    def offers(self) -> set[str]:
+        """Return the versions and services of all usable links."""
+        return {
+            offer
+            for link in self.links()
+            if link.is_usable()
+            for offer in link.load.offers
+        }
+
+    def views(self, links: dict[str, Link]) -> list[View]:
+        """Return what is known of some links for a choice."""
+        return [
+            View(
+                name,
+                link.sidecar.zone,
+                max(link.in_flight(), link.load.running + link.load.waiting),
+                link.load.window,
+                self.outliers.failing(name),
+            )
+            for name, link in links.items()
+        ]
+
+    def update(self) -> None:
+        """Open links to newly listed sidecars, close those no longer listed.
+
+        An unlisted sidecar that still answers is kept: the list lags.
+        """
+        listed = {row.name: row for row in self._directory.sidecars()}
+        chosen = rank(self._name, listed)[: self._max_peers]
+        with self._lock:
+            for name in chosen:
+                old = self._links.get(name)
+                if old is not None and old.instance != listed[name]:
+                    if old.instance.address == listed[name].address:
+                        continue
+                    old.stop()
+                    old = None
+                if old is None:
+                    link = self._make_link(listed[name])
+                    self._links[name] = link
+                    self._workers.submit(link.run)
+            for name, link in list(self._links.items()):
+                idle = not link.connected and not link.in_flight()
+                if name not in listed and idle:
+                    link.stop()
+                    del self._links[name]
+
+    def check(self) -> None:
+        """Look for silent peers."""
+        for link in self.links():
+            link.check_silence()
+
+    def wake(self) -> None:
+        """Send every sidecar a message now."""
+        for link in self.links():
+            if link.connected:
+                link.wake()
+
+    def close(self) -> None:
+        """Close all links."""
+        for link in self.links():
+            link.stop()
+        self._workers.shutdown(wait=True)
--- /dev/null
+++ b/src/toucancourse/delivery/ratings.py
@@ -0,0 +1,98 @@
+"""Samples answers for the rater and shares the ratings."""
+
+import random
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from typing import Final
+
+from loguru import logger
+
+from ..errors import DECODE_ERRORS, CourseError, LogDownError
+from ..platform.log import Log
+from ..platform.rater import Rater
+from ..routing.quality import STREAM, QualityBook, Ratings
+from ..streams.codec import encode_items
+from ..streams.follower import Follower
+
+RATER_THREADS: Final = 2
+#: Answers that wait for the rater; more are not rated.
+MAX_WAITING: Final = 100
+SHARE_SECONDS: Final = 2.0
+
+
+class RatingSampler:
+    """Rates a share of the answers in the background."""
+
+    def __init__(
+        self,
+        rater: Rater | None,
+        share: float,
+        log: Log,
+        follower: Follower[QualityBook],
+    ) -> None:
+        """Keep the parts; without a rater nothing is sampled."""
+        self.follower = follower
+        self._rater = rater
+        self._share = share
+        self._log = log
+        self._workers = ThreadPoolExecutor(RATER_THREADS, 'rater')
+        self._lock = threading.Lock()
+        self._waiting = 0
+        self._sums: dict[tuple[str, str], Ratings] = {}
+        self._stop = threading.Event()
+
+    def is_sampled(self) -> bool:
+        """Return True for a random share of calls."""
+        if self._rater is None or self._waiting >= MAX_WAITING:
+            return False
+        return random.random() < self._share
+
+    def rate(self, kind: str, version: str, answer: bytes) -> None:
+        """Rate an answer later."""
+        with self._lock:
+            self._waiting += 1
+        text = answer.decode(errors='replace')
+        self._workers.submit(self._rate, kind, version, text)
+
+    def run(self) -> None:
+        """Share the ratings until stopped."""
+        while not self._stop.wait(SHARE_SECONDS):
+            self.share()
+
+    def share(self) -> None:
+        """Append the ratings gathered since the last call."""
+        with self._lock:
+            rows = list(self._sums.values())
+            self._sums = {}
+        if not rows:
+            return
+        try:
+            self._log.append(STREAM, encode_items(rows))
+        except LogDownError as error:
+            # Ratings are samples: losing some only widens the estimate.
+            logger.warning('{} ratings dropped: {}', len(rows), error)
+
+    def stop(self) -> None:
+        """End run()."""
+        self._stop.set()
+        self._workers.shutdown(wait=False, cancel_futures=True)
+
+    def _rate(self, kind: str, version: str, text: str) -> None:
+        try:
+            assert self._rater is not None
+            rating = self._rater.rate(kind, version, text)
+        except (CourseError, *DECODE_ERRORS) as error:
+            logger.debug('answer not rated: {}', error)
+            return
+        finally:
+            with self._lock:
+                self._waiting -= 1
+        with self._lock:
+            key = (version, kind)
+            old = self._sums.get(key, Ratings(*key, 0, 0, 0))
+            self._sums[key] = Ratings(
+                *key,
+                old.number + 1,
+                old.total + rating,
+                old.squares + rating**2,
+            )
--- /dev/null
+++ b/src/toucancourse/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Instances, peers and proof of fresh configuration."""
--- /dev/null
+++ b/src/toucancourse/platform/__init__.py
@@ -0,0 +1,1 @@
+"""The platform's services behind abstract base classes."""
--- /dev/null
+++ b/src/toucancourse/protocol/__init__.py
@@ -0,0 +1,1 @@
+"""The protocol between entries and sidecars."""
--- /dev/null
+++ b/src/toucancourse/report/__init__.py
@@ -0,0 +1,1 @@
+"""Reports for operators."""
--- /dev/null
+++ b/src/toucancourse/report/metrics.py
@@ -0,0 +1,51 @@
+"""Prometheus metrics of the daemons."""
+
+from prometheus_client import Counter, Gauge, Histogram
+
+_FIRST_TOKEN_BUCKETS = (0.05, 0.1, 0.2, 0.45, 1, 2, 5, 10, 30)
+_DURATION_BUCKETS = (0.1, 0.5, 1, 2, 5, 10, 30, 60, 120)
+
+
+class ChatMetrics:
+    """What an entry counts of its requests."""
+
+    def __init__(self) -> None:
+        """Register the metrics; once a process."""
+        self.requests = Counter(
+            'toucancourse_requests',
+            'Requests by how they ended',
+            ('customer', 'version', 'code'),
+        )
+        self.retries = Counter('toucancourse_retries', 'Tries after the first')
+        self.cost = Counter(
+            'toucancourse_cost_micro_units',
+            'Billed cost',
+            ('customer', 'version'),
+        )
+        self.first_token = Histogram(
+            'toucancourse_first_token_seconds',
+            'Time to the first byte of an answer',
+            ('kind',),
+            buckets=_FIRST_TOKEN_BUCKETS,
+        )
+        self.duration = Histogram(
+            'toucancourse_request_seconds',
+            'Time to the end of a request',
+            ('kind',),
+            buckets=_DURATION_BUCKETS,
+        )
+
+
+class DaemonMetrics:
+    """What every daemon reports of its configuration."""
+
+    def __init__(self) -> None:
+        """Register the metrics; once a process."""
+        self.offset = Gauge(
+            'toucancourse_configuration_offset',
+            'Offset after the last folded configuration record',
+        )
+        self.proof_age = Gauge(
+            'toucancourse_configuration_proof_age_seconds',
+            'Age of the proof that the configuration is current',
+        )
--- /dev/null
+++ b/src/toucancourse/rollout/__init__.py
@@ -0,0 +1,1 @@
+"""Staged roll-outs and their supervision."""
--- /dev/null
+++ b/src/toucancourse/routing/__init__.py
@@ -0,0 +1,1 @@
+"""Choice of version and endpoint."""
--- /dev/null
+++ b/src/toucancourse/settings/__init__.py
@@ -0,0 +1,1 @@
+"""Settings of a daemon, read from INI."""
--- /dev/null
+++ b/src/toucancourse/streams/__init__.py
@@ -0,0 +1,1 @@
+"""Small streams of the log: group appends, followers and snapshots."""
--- /dev/null
+++ b/src/toucancourse/web/__init__.py
@@ -0,0 +1,1 @@
+"""HTTP plumbing shared by the caller, admin and health interfaces."""
--- /dev/null
+++ b/src/toucancourse/web/health.py
@@ -0,0 +1,44 @@
+"""Health, readiness and metrics of a daemon."""
+
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+
+from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
+
+from .messages import Environ, Response, StartResponse, make_json, send
+
+
+class Health:
+    """Serves /healthz, /readyz and /metrics."""
+
+    def __init__(self, find_problem: Callable[[], str]) -> None:
+        """Keep a check that returns why the daemon isn't ready, or ''."""
+        self._find_problem = find_problem
+
+    def answer(self, path: str) -> Response | None:
+        """Return the answer for a path, or None if it is not ours."""
+        if path == '/healthz':
+            return make_json({'status': 'alive'})
+        if path == '/readyz':
+            problem = self._find_problem()
+            if problem:
+                return make_json(
+                    {'status': problem}, HTTPStatus.SERVICE_UNAVAILABLE
+                )
+            return make_json({'status': 'ready'})
+        if path == '/metrics':
+            return Response(
+                HTTPStatus.OK, generate_latest(), CONTENT_TYPE_LATEST
+            )
+        return None
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one WSGI request."""
+        response = self.answer(environ.get('PATH_INFO', ''))
+        if response is None:
+            response = make_json({'status': 'not found'}, HTTPStatus.NOT_FOUND)
+        return send(response, start_response)
--- /dev/null
+++ b/src/toucancourse/web/messages.py
@@ -0,0 +1,138 @@
+"""HTTP requests and answers of a WSGI application."""
+
+import json
+from collections.abc import Callable, Iterable, Mapping
+from http import HTTPStatus
+from typing import Any, Final, NamedTuple
+from urllib.parse import parse_qsl
+
+from ..errors import BadRequestError, CourseError, TooLargeError
+
+Environ = Mapping[str, Any]
+StartResponse = Callable[..., Callable[[bytes], object]]
+
+JSON_TYPE: Final = 'application/json'
+
+
+class Request(NamedTuple):
+    """One HTTP request with its whole body."""
+
+    method: str
+    path: str
+    query: Mapping[str, str]
+    headers: Mapping[str, str]
+    body: bytes
+    environ: Environ
+
+    def header(self, name: str, default: str = '') -> str:
+        """Return a header by its lower-case name."""
+        return self.headers.get(name, default)
+
+    def bearer(self) -> str:
+        """Return the bearer token, or ''."""
+        scheme, _, token = self.header('authorization').partition(' ')
+        return token.strip() if scheme.lower() == 'bearer' else ''
+
+    def json_body(self) -> dict[str, Any]:
+        """Return the body as a JSON object.
+
+        Raises BadRequestError.
+        """
+        try:
+            body = json.loads(self.body)
+        except (ValueError, RecursionError) as error:
+            raise BadRequestError(f'the body is not JSON: {error}') from error
+        if not isinstance(body, dict):
+            raise BadRequestError('the body is not a JSON object')
+        return body
+
+
+class Response(NamedTuple):
+    """One whole HTTP answer."""
+
+    status: int
+    body: bytes
+    content_type: str = JSON_TYPE
+    headers: tuple[tuple[str, str], ...] = ()
+
+
+def read_request(environ: Environ, max_body: int) -> Request:
+    """Return the request of a WSGI environment.
+
+    Raises TooLargeError or BadRequestError.
+    """
+    headers = {
+        name[len('HTTP_') :].replace('_', '-').lower(): value
+        for name, value in environ.items()
+        if name.startswith('HTTP_')
+    }
+    headers['content-type'] = environ.get('CONTENT_TYPE', '')
+    length = environ.get('CONTENT_LENGTH') or '0'
+    if not length.isdigit():
+        raise BadRequestError(f'header "Content-Length" has "{length}"')
+    if int(length) > max_body:
+        raise TooLargeError(
+            f'the body has {length} bytes; the limit is {max_body}'
+        )
+    body = environ['wsgi.input'].read(int(length))
+    path = environ.get('PATH_INFO', '/')
+    query = dict(parse_qsl(environ.get('QUERY_STRING', '')))
+    return Request(
+        environ['REQUEST_METHOD'], path, query, headers, body, environ
+    )
+
+
+def make_json(
+    value: object,
+    status: int = HTTPStatus.OK,
+    headers: Iterable[tuple[str, str]] = (),
+) -> Response:
+    """Return a JSON answer."""
+    body = json.dumps(value).encode()
+    return Response(status, body, JSON_TYPE, tuple(headers))
+
+
+def make_error_body(error: CourseError) -> dict[str, Any]:
+    """Return an error in the shape of the OpenAI API, with its outcome."""
+    return {
+        'error': {
+            'message': error.text,
+            'type': type(error).__name__,
+            'param': None,
+            'code': error.code,
+            'outcome': str(error.outcome),
+        },
+    }
+
+
+def make_error(
+    error: CourseError,
+    headers: Iterable[tuple[str, str]] = (),
+) -> Response:
+    """Return the answer for an error."""
+    extra = list(headers)
+    if error.retry_after is not None:
+        extra.append(('Retry-After', str(error.retry_after)))
+    return make_json(make_error_body(error), error.status, extra)
+
+
+def send(response: Response, start_response: StartResponse) -> list[bytes]:
+    """Start a whole answer and return its body for WSGI."""
+    phrase = (
+        HTTPStatus(response.status).phrase
+        if _is_known(response.status)
+        else 'Status'
+    )
+    start_response(
+        f'{response.status} {phrase}',
+        [
+            ('Content-Type', response.content_type),
+            ('Content-Length', str(len(response.body))),
+            *response.headers,
+        ],
+    )
+    return [response.body]
+
+
+def _is_known(status: int) -> bool:
+    return status in HTTPStatus._value2member_map_
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Stand-ins for the platform, engines and services, for tests and demos."""
--- /dev/null
+++ b/standins/fleet.py
@@ -0,0 +1,463 @@
+"""Starts stand-ins and daemons as real processes on loopback."""
+
+import configparser
+import hashlib
+import json
+import os
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+HOST = '127.0.0.1'
+OPERATOR_TOKEN = 'first-operator-token'
+START_SECONDS = 30
+_used_ports: set[int] = set()
+_port_lock = threading.Lock()
+
+
+def find_port() -> int:
+    """Return a port that is free and was not handed out before."""
+    with _port_lock:
+        while True:
+            with socket.create_server((HOST, 0)) as server:
+                port = int(server.getsockname()[1])
+            if port not in _used_ports:
+                _used_ports.add(port)
+                return port
+
+
+def hash_token(token: str) -> str:
+    """Return the digest under which a token is published."""
+    return hashlib.sha256(token.encode()).hexdigest()
+
+
+class Answer:
+    """One HTTP answer."""
+
+    def __init__(self, status: int, headers: dict[str, str], body: bytes):
+        """Keep the parts."""
+        self.status = status
+        self.headers = headers
+        self.body = body
+
+    def json(self) -> Any:
+        """Return the decoded body."""
+        return json.loads(self.body)
+
+
+def call(
+    address: str,
+    method: str,
+    path: str,
+    body: object = None,
+    headers: dict[str, str] | None = None,
+    timeout: float = 30,
+) -> Answer:
+    """Return the answer of one HTTP call; raises OSError or HTTPException."""
+    host, _, port = address.rpartition(':')
+    connection = HTTPConnection(host, int(port), timeout=timeout)
+    try:
+        payload = None if body is None else json.dumps(body).encode()
+        sent = {'Content-Type': 'application/json', **(headers or {})}
+        connection.request(method, path, payload, sent)
+        response = connection.getresponse()
+        found = {name.lower(): value for name, value in response.getheaders()}
+        return Answer(response.status, found, response.read())
+    finally:
+        connection.close()
+
+
+def wait_until(check: Any, timeout: float, what: str) -> Any:
+    """Return the first true value of a check; fail after the timeout."""
+    limit = time.monotonic() + timeout
+    while True:
+        found = check()
+        if found:
+            return found
+        if time.monotonic() > limit:
+            raise TimeoutError(f'{what} did not happen in {timeout} s')
+        time.sleep(0.02)
+
+
+def is_serving(address: str, path: str = '/journal') -> bool:
+    """Return True if an HTTP server answers 200."""
+    try:
+        return call(address, 'GET', path, timeout=2).status == 200
+    except (OSError, HTTPException):
+        return False
+
+
+class Node:
+    """One process that can be killed, frozen and started again."""
+
+    def __init__(self, name: str, command: list[str], log: Path) -> None:
+        """Keep the command; start() runs it."""
+        self.name = name
+        self._command = command
+        self._log = log
+        self.process: subprocess.Popen[bytes] | None = None
+
+    def start(self) -> None:
+        """Run the process."""
+        with self._log.open('ab') as log_file:
+            self.process = subprocess.Popen(
+                self._command,
+                cwd=ROOT,
+                env={**os.environ, 'PYTHONPATH': f'{ROOT / "src"}:{ROOT}'},
+                stdout=log_file,
+                stderr=log_file,
+            )
+
+    def is_running(self) -> bool:
+        """Return True while the process lives."""
+        return self.process is not None and self.process.poll() is None
+
+    def send(self, number: signal.Signals) -> None:
+        """Send a signal to this process only."""
+        if self.process is not None and self.is_running():
+            self.process.send_signal(number)
+
+    def kill(self) -> None:
+        """End the process at once and wait for it."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self.process is not None:
+            self.process.wait()
+
+    def stop(self, timeout: float = 60) -> int:
+        """End the process gracefully and return its exit code."""
+        self.send(signal.SIGTERM)
+        assert self.process is not None
+        return self.process.wait(timeout)
+
+    def freeze(self) -> None:
+        """Pause the process."""
+        self.send(signal.SIGSTOP)
+
+    def thaw(self) -> None:
+        """Let a paused process go on."""
+        self.send(signal.SIGCONT)
+
+    def log_text(self) -> str:
+        """Return what the process wrote."""
+        return self._log.read_text(errors='replace')
+
+
+class Daemon(Node):
+    """A daemon with its settings file and its row of the instance list."""
+
+    def __init__(
+        self,
+        name: str,
+        sections: dict[str, dict[str, Any]],
+        folder: Path,
+    ) -> None:
+        """Write the settings file."""
+        path = folder / f'{name}.ini'
+        parser = configparser.ConfigParser(interpolation=None)
+        parser.read_dict(sections)
+        with path.open('w') as ini_file:
+            parser.write(ini_file)
+        command = [sys.executable, '-m', 'toucancourse.daemon', str(path)]
+        super().__init__(name, command, folder / f'{name}.log')
+        self.path = path
+        self.role = sections['daemon']['role']
+        self.zone = sections['daemon']['zone']
+        self.health = sections['daemon']['health_address']
+        self.sections = sections
+        self.state = 'live'
+
+    @property
+    def address(self) -> str:
+        """Return the address in the instance list."""
+        if self.role == 'sidecar':
+            return str(self.sections['sidecar']['peer_address'])
+        return str(self.sections['entry']['admin_address'])
+
+    @property
+    def caller_address(self) -> str:
+        """Return an entry's address for callers."""
+        return str(self.sections['entry']['caller_address'])
+
+    def row(self) -> dict[str, str]:
+        """Return the row of the instance list."""
+        return {
+            'name': self.name,
+            'role': self.role,
+            'zone': self.zone,
+            'address': self.address,
+            'state': self.state,
+        }
+
+    def is_ready(self) -> bool:
+        """Return True if the daemon says that it is ready."""
+        return self.is_running() and is_serving(self.health, '/readyz')
+
+
+class Fleet:
+    """Stand-ins and daemons of one test, demo or bench."""
+
+    def __init__(self, **overrides: dict[str, Any]) -> None:
+        """Start the platform; overrides change sections of all daemons."""
+        self.folder = Path(tempfile.mkdtemp(prefix='toucancourse-'))
+        self.nodes: dict[str, Node] = {}
+        self.daemons: dict[str, Daemon] = {}
+        self.engines: dict[str, str] = {}
+        self.services: dict[str, str] = {}
+        self._overrides = overrides
+        self._proxied: dict[str, str] = {}
+        self.proxy = ''
+        self.platform = self.run_standin('platform', 'platform', '/journal')
+
+    def __enter__(self) -> 'Fleet':
+        """Return the fleet."""
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        """End all processes."""
+        self.close()
+
+    def close(self) -> None:
+        """End all processes and remove their files."""
+        for node in self.nodes.values():
+            if node.process is not None:
+                node.kill()
+        shutil.rmtree(self.folder, ignore_errors=True)
+
+    def run_standin(
+        self,
+        name: str,
+        module: str,
+        probe: str = '/journal',
+        **options: Any,
+    ) -> str:
+        """Start a stand-in and return its address."""
+        port = find_port()
+        command = [sys.executable, '-m', f'standins.{module}']
+        command += ['--port', str(port)]
+        for key, value in options.items():
+            command += ['--' + key.replace('_', '-'), str(value)]
+        node = Node(name, command, self.folder / f'{name}.log')
+        self.nodes[name] = node
+        node.start()
+        address = f'{HOST}:{port}'
+        wait_until(
+            lambda: is_serving(address, probe),
+            START_SECONDS,
+            f'start of {name}',
+        )
+        return address
+
+    def start_proxy(self) -> None:
+        """Start the fault proxy; later daemons are reached through it."""
+        self.proxy = self.run_standin('proxy', 'proxy', '/counts')
+
+    def through_proxy(self, name: str, target: str) -> str:
+        """Return an address that leads to the target through the proxy."""
+        if not self.proxy:
+            return target
+        port = find_port()
+        body = {'name': name, 'listen': port, 'target': target}
+        call(self.proxy, 'POST', '/routes', body)
+        return f'{HOST}:{port}'
+
+    def set_fault(self, name: str, mode: str, delay: float = 0) -> None:
+        """Set the fault of all proxy routes whose name starts so."""
+        body = {'name': name, 'mode': mode, 'delay': delay}
+        call(self.proxy, 'POST', '/fault', body)
+
+    def add_engine(
+        self,
+        name: str,
+        zone: str,
+        versions: tuple[str, ...],
+        *,
+        sidecar: dict[str, Any] | None = None,
+        **options: Any,
+    ) -> Daemon:
+        """Start an engine with its sidecar."""
+        address = self.run_standin(
+            f'engine-{name}',
+            'engine',
+            '/load',
+            versions=','.join(versions),
+            **options,
+        )
+        self.engines[name] = address
+        reached = self.through_proxy(f'engine:{name}', address)
+        return self._add_sidecar(
+            name, zone, reached, {'endpoint_kind': 'model', **(sidecar or {})}
+        )
+
+    def add_service(self, name: str, zone: str, service: str) -> Daemon:
+        """Start a plain service with its sidecar."""
+        address = self.run_standin(f'service-{name}', 'service')
+        self.services[name] = address
+        reached = self.through_proxy(f'service:{name}', address)
+        return self._add_sidecar(
+            name,
+            zone,
+            reached,
+            {'endpoint_kind': 'service', 'service': service},
+        )
+
+    def add_entry(self, name: str, zone: str, **settings: Any) -> Daemon:
+        """Start an entry."""
+        sections = self._make_sections(name, 'entry', zone)
+        sections['entry'] = {
+            'caller_address': f'{HOST}:{find_port()}',
+            'admin_address': f'{HOST}:{find_port()}',
+            'operator_token_sha256': hash_token(OPERATOR_TOKEN),
+            **self._overrides.get('entry', {}),
+            **settings,
+        }
+        return self._add_daemon(Daemon(name, sections, self.folder))
+
+    def publish(self) -> None:
+        """Publish the instance list as it is now."""
+        rows = []
+        for daemon in self.daemons.values():
+            row = daemon.row()
+            row['address'] = self._proxied.get(daemon.name, row['address'])
+            rows.append(row)
+        call(self.platform, 'POST', '/instances', {'instances': rows})
+
+    def wait_ready(self, *names: str, timeout: float = START_SECONDS) -> None:
+        """Wait until the named daemons, or all, are ready."""
+        for name in names or tuple(self.daemons):
+            wait_until(
+                self.daemons[name].is_ready, timeout, f'readiness of {name}'
+            )
+
+    def restart(self, name: str) -> None:
+        """Start a daemon again that was stopped or killed."""
+        self.daemons[name].start()
+
+    def remove(self, name: str) -> None:
+        """Take a daemon off the list."""
+        del self.daemons[name]
+        self.publish()
+
+    def admin(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        body: object = None,
+        token: str = OPERATOR_TOKEN,
+    ) -> Answer:
+        """Call an entry's administration API."""
+        return call(
+            self.daemons[entry].address,
+            method,
+            f'/admin/v1{path}',
+            body,
+            {'Authorization': f'Bearer {token}'},
+        )
+
+    def put(
+        self,
+        entry: str,
+        name: str,
+        body: object,
+        wait: float = 10,
+        **extra: Any,
+    ) -> Answer:
+        """Change an object against its present revision."""
+        found = self.admin(entry, 'GET', f'/objects/{name}').json()
+        change = {
+            'base': found['revision'],
+            'body': body,
+            'wait_seconds': wait,
+            **extra,
+        }
+        return self.admin(entry, 'PUT', f'/objects/{name}', change)
+
+    def fault(self, **fault: Any) -> None:
+        """Set a fault of the platform."""
+        call(self.platform, 'POST', '/fault', fault)
+
+    def journal(self, address: str) -> list[dict[str, Any]]:
+        """Return the rows of a stand-in's journal."""
+        rows = call(address, 'GET', '/journal').json()['rows']
+        return list(rows)
+
+    def done_requests(self) -> list[dict[str, Any]]:
+        """Return the journal rows of whole answers of all engines."""
+        return [
+            row
+            for address in self.engines.values()
+            for row in self.journal(address)
+            if row.get('state') == 'done'
+        ]
+
+    def service_rows(self) -> list[dict[str, Any]]:
+        """Return the journal rows of all plain services."""
+        return [
+            row
+            for address in self.services.values()
+            for row in self.journal(address)
+        ]
+
+    def _add_sidecar(
+        self,
+        name: str,
+        zone: str,
+        endpoint: str,
+        settings: dict[str, Any],
+    ) -> Daemon:
+        sections = self._make_sections(name, 'sidecar', zone)
+        sections['sidecar'] = {
+            'peer_address': f'{HOST}:{find_port()}',
+            'endpoint_url': f'http://{endpoint}',
+            **self._overrides.get('sidecar', {}),
+            **settings,
+        }
+        daemon = Daemon(name, sections, self.folder)
+        if self.proxy:
+            self._proxied[name] = self.through_proxy(
+                f'peer:{name}', daemon.address
+            )
+        return self._add_daemon(daemon)
+
+    def _add_daemon(self, daemon: Daemon) -> Daemon:
+        self.nodes[daemon.name] = daemon
+        self.daemons[daemon.name] = daemon
+        self.publish()
+        daemon.start()
+        return daemon
+
+    def _make_sections(
+        self,
+        name: str,
+        role: str,
+        zone: str,
+    ) -> dict[str, dict[str, Any]]:
+        platform = self.through_proxy(f'platform:{name}', self.platform)
+        url = f'http://{platform}'
+        return {
+            'daemon': {
+                'role': role,
+                'instance': name,
+                'zone': zone,
+                'health_address': f'{HOST}:{find_port()}',
+                **self._overrides.get('daemon', {}),
+            },
+            'log': {'format': 'json', **self._overrides.get('log', {})},
+            'platform': {
+                'log_url': url,
+                'instances_url': url,
+                'rater_url': url,
+                **self._overrides.get('platform', {}),
+            },
+            'configuration': {**self._overrides.get('configuration', {})},
+        }
--- /dev/null
+++ b/tests/__init__.py
@@ -0,0 +1,1 @@
+"""Tests of toucancourse."""
--- /dev/null
+++ b/tests/world.py
@@ -0,0 +1,194 @@
+"""A small fleet with both users' contracts, for integration tests."""
+
+import json
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from standins.fleet import Answer, Fleet, call, hash_token, wait_until
+
+CHIKUGO_KEY = 'chikugo-key'
+GARMI_KEY = 'garmi-key'
+PLENTY = 10**12
+
+VERSIONS = {
+    'small@1': {
+        'state': 'live',
+        'prompt_price': 10,
+        'completion_price': 20,
+        'quality': {'*': 0.7},
+    },
+    'large@1': {
+        'state': 'live',
+        'prompt_price': 100,
+        'completion_price': 200,
+        'quality': {'*': 0.92},
+    },
+}
+SERVICES = {
+    'booking': {'repeatable': ['GET /']},
+    'stock': {'repeatable': ['GET /', 'POST /lookups']},
+}
+
+
+def make_contract(key: str, **changes: Any) -> dict[str, Any]:
+    """Return a generous contract with some changes."""
+    return {
+        'versions': ['small@*', 'large@1'],
+        'services': ['booking'],
+        'quality': 0.6,
+        'spend': PLENTY,
+        'requests_per_second': 2000,
+        'concurrent': 500,
+        'max_output_tokens': 4000,
+        'priority': 5,
+        'keys': [hash_token(key)],
+        **changes,
+    }
+
+
+class World(Fleet):
+    """Two zones, two engines, a booking service and some entries."""
+
+    def __init__(
+        self,
+        entries: tuple[str, ...] = ('e1', 'e2'),
+        *,
+        proxy: bool = False,
+        engine: dict[str, Any] | None = None,
+        **overrides: dict[str, Any],
+    ) -> None:
+        """Start everything and wait until it serves."""
+        super().__init__(**overrides)
+        try:
+            self._build(entries, proxy, engine or {})
+        except BaseException:
+            self.close()
+            raise
+
+    def chat(
+        self,
+        entry: str = 'e1',
+        *,
+        key: str = CHIKUGO_KEY,
+        headers: dict[str, str] | None = None,
+        timeout: float = 30,
+        **body: Any,
+    ) -> Answer:
+        """Ask for a chat completion."""
+        asked = {
+            'model': 'auto',
+            'messages': [{'role': 'user', 'content': 'Which wire gauge?'}],
+            'max_tokens': 8,
+            **body,
+        }
+        return call(
+            self.daemons[entry].caller_address,
+            'POST',
+            '/v1/chat/completions',
+            asked,
+            {'Authorization': f'Bearer {key}', **(headers or {})},
+            timeout,
+        )
+
+    def book(
+        self,
+        entry: str = 'e1',
+        *,
+        key: str = '',
+        body: object = None,
+        timeout: float = 30,
+        deadline_ms: int = 20_000,
+    ) -> Answer:
+        """Call the booking service."""
+        headers = {
+            'Authorization': f'Bearer {CHIKUGO_KEY}',
+            'X-Deadline-Ms': str(deadline_ms),
+        }
+        if key:
+            headers['Idempotency-Key'] = key
+        return call(
+            self.daemons[entry].caller_address,
+            'POST',
+            '/v1/services/booking/bookings',
+            body or {'motor': key or 'any'},
+            headers,
+            timeout,
+        )
+
+    def bill(self, customer: str = 'chikugo', entry: str = 'e1') -> Any:
+        """Return today's statement."""
+        return self.admin(entry, 'GET', f'/bills/{customer}').json()
+
+    def warm_up(self) -> None:
+        """Serve requests until every engine's window has opened."""
+        for _ in range(5):
+            with ThreadPoolExecutor(8) as workers:
+                list(workers.map(lambda _: self.chat(), range(8)))
+
+    def wait_billed(self, count: int, entry: str = 'e1') -> Any:
+        """Return the statement once it holds a number of requests."""
+        wait_until(
+            lambda: self.bill(entry=entry)['requests'] >= count,
+            15,
+            f'billing of {count} requests',
+        )
+        return self.bill(entry=entry)
+
+    def _build(
+        self,
+        entries: tuple[str, ...],
+        proxy: bool,
+        engine: dict[str, Any],
+    ) -> None:
+        if proxy:
+            self.start_proxy()
+        quality = json.dumps({'small@1': 0.7, 'large@1': 0.92})
+        offered = tuple(VERSIONS)
+        self.add_engine('m1', 'east', offered, quality=quality, **engine)
+        self.add_engine('m2', 'west', offered, quality=quality, **engine)
+        self.add_service('b1', 'east', 'booking')
+        for number, name in enumerate(entries):
+            self.add_entry(name, ('east', 'west')[number % 2])
+        first = entries[0]
+        wait_until(
+            lambda: self.admin_is_up(first), 20, 'start of the first entry'
+        )
+        for zone in ('east', 'west'):
+            self.apply(first, f'zone/{zone}', {'out': False})
+        for name, body in VERSIONS.items():
+            self.apply(first, f'version/{name}', body)
+        for name, service in SERVICES.items():
+            self.apply(first, f'service/{name}', service)
+        for customer, key in (('chikugo', CHIKUGO_KEY), ('garmi', GARMI_KEY)):
+            self.apply(first, f'contract/{customer}', make_contract(key))
+        self.wait_ready()
+        wait_until(self._all_linked, 20, 'links of all entries')
+
+    def admin_is_up(self, entry: str) -> bool:
+        """Return True once an entry has a configuration."""
+        try:
+            status = self.admin(entry, 'GET', '/status').json()
+        except OSError:
+            return False
+        return bool(status['current'])
+
+    def apply(self, entry: str, name: str, body: object, **extra: Any) -> int:
+        """Change an object and return its revision; fail if refused."""
+        answer = self.put(entry, name, body, **extra)
+        assert answer.status == 200, answer.body
+        assert answer.json()['in_force'], answer.body
+        return int(answer.json()['revision'])
+
+    def status(self, entry: str) -> Any:
+        """Return an entry's status."""
+        return self.admin(entry, 'GET', '/status').json()
+
+    def _all_linked(self) -> bool:
+        entries = [
+            name for name, row in self.daemons.items() if row.role == 'entry'
+        ]
+        return all(
+            row['connected'] or row['role'] == 'entry'
+            for entry in entries
+            for row in self.status(entry)['instances']
+        )
