--- a/src/toucancourse/admin/routes.py
+++ b/src/toucancourse/admin/routes.py
@@ -15,6 +15,8 @@
 from ..contract.state import State
 from ..delivery.entry import EntryParts
 from ..errors import BadRequestError, CourseError, NotFoundError
+from ..report.burn import list_burn, list_series, make_alert_rules
+from ..report.levels import LevelBook, find_bucket
 from ..streams.follower import Follower
 from ..web.messages import (
     Environ,
@@ -46,12 +48,14 @@
         parts: EntryParts,
         changes: Changes,
         spend: Follower[SpendBook],
+        levels: Follower[LevelBook],
         first_sha256: str,
     ) -> None:
         """Keep the parts and the digest of the first operator's token."""
         self._parts = parts
         self._changes = changes
         self._spend = spend
+        self._levels = levels
         self._first = first_sha256
 
     def __call__(
@@ -96,6 +100,10 @@
             return make_json(self._show_status(state))
         if section == 'explain':
             return make_json(self._explain(rest))
+        if section == 'burn':
+            return make_json(self._show_burn(state))
+        if section == 'alerts':
+            return make_json({'rules': make_alert_rules(state)})
         if section == 'bills':
             return make_json(self._show_bill(rest, request.query))
         raise NotFoundError(f'path "{request.path}" does not exist')
@@ -196,6 +204,15 @@
         answer['steps'] = [step._asdict() for step in decision.steps]
         return answer
 
+    def _show_burn(self, state: State) -> dict[str, Any]:
+        bucket = find_bucket(time.time())
+        self._levels.catch_up()
+        with self._levels.lock:
+            book = self._levels.book
+            rows = list(list_burn(state, book, bucket))
+            series = list(list_series(state, book, bucket))
+        return {'rows': [row._asdict() for row in rows], 'series': series}
+
     def _show_bill(
         self,
         customer: str,
--- a/src/toucancourse/contract/objects.py
+++ b/src/toucancourse/contract/objects.py
@@ -2,7 +2,7 @@
 
 import re
 from collections.abc import Iterator, Mapping
-from typing import Any, Final, NamedTuple, TypedDict
+from typing import Any, Final, NamedTuple, NotRequired, TypedDict
 
 NAME_PATTERN: Final = re.compile(r'[A-Za-z0-9][A-Za-z0-9_.-]{0,63}')
 DIGEST_PATTERN: Final = re.compile('[0-9a-f]{64}')
@@ -34,6 +34,13 @@
     priority: int
     #: SHA-256 of the API keys, in hexadecimal.
     keys: list[str]
+    #: Share of requests that must end well, such as 0.995.
+    availability_objective: NotRequired[float]
+    #: Share of requests whose first token must come in time.
+    first_token_objective: NotRequired[float]
+    first_token_seconds: NotRequired[float]
+    #: Share of rated answers that must reach the contract's quality.
+    quality_objective: NotRequired[float]
 
 
 class RolloutBody(TypedDict):
@@ -109,6 +116,8 @@
             yield Problem(key, f'key "{key}" is unknown')
     for key, rule in fields.items():
         if key not in body:
+            if rule.optional:
+                continue
             yield Problem(key, f'key "{key}" is missing')
         elif not rule.check(body[key]):
             yield Problem(
@@ -121,6 +130,7 @@
 
     allowed: str
     check: Any
+    optional: bool = False
 
 
 def _is_whole(value: object) -> bool:
@@ -197,6 +207,10 @@
         'max_output_tokens': _whole(1, 10**6),
         'priority': _whole(0, 9),
         'keys': _texts('[0-9a-f]{64}', 'hexadecimal SHA-256 digests'),
+        'availability_objective': _number(0, 0.999999)._replace(optional=True),
+        'first_token_objective': _number(0, 0.999999)._replace(optional=True),
+        'quality_objective': _number(0, 0.999999)._replace(optional=True),
+        'first_token_seconds': _number(0.001, 3600)._replace(optional=True),
     },
     'rollout': {
         'source': Rule('"model@version"', re.compile(_VERSION_NAME).fullmatch),
--- a/src/toucancourse/daemon/core.py
+++ b/src/toucancourse/daemon/core.py
@@ -25,6 +25,8 @@
 from ..web.server import Bounds, Server
 
 LIST_SECONDS: Final = 1.0
+#: Entries that write snapshots; more than one is harmless.
+SNAPSHOT_WRITERS: Final = 2
 MAX_THREADS: Final = 64
 HEALTH_BODY_BYTES: Final = 4096
 HEALTH_BOUNDS: Final = Bounds(4, HEALTH_BODY_BYTES, 10)
@@ -124,16 +126,16 @@
         state = self.configuration.state
         limit = self.settings.whole('configuration', 'snapshot_records')
         since = state.offset - self.configuration.last_snapshot
-        if since < limit or not self.reader_is_first():
+        if since < limit or not self.is_writer():
             return
         try:
             self.log.append(STREAM, encode_record(take_snapshot(state)))
         except LogDownError as error:
             logger.warning('no snapshot written: {}', error)
 
-    def reader_is_first(self) -> bool:
-        """Return True if this instance is its zone's first reader."""
-        return self.directory.is_reader(self.instance, self.zone, 1)
+    def is_writer(self) -> bool:
+        """Return True if this entry is one of those that write snapshots."""
+        return self.directory.is_writer(self.instance, SNAPSHOT_WRITERS)
 
     def _is_reader(self) -> bool:
         readers = self.settings.whole('configuration', 'readers_per_zone')
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -5,7 +5,7 @@
 import time
 import uuid
 from collections.abc import Iterable
-from typing import Final
+from typing import Any, Final
 
 from loguru import logger
 
@@ -33,6 +33,8 @@
 from ..platform.instances import Instance
 from ..platform.rater import HttpRater
 from ..protocol import peer_pb2
+from ..report import levels as level_items
+from ..report.levels import Level, LevelBook, LevelRecorder
 from ..report.metrics import ChatMetrics
 from ..routing import quality as quality_items
 from ..routing.endpoints import PowerOfTwo, PrefixAffinity
@@ -60,6 +62,8 @@
 SECRET_BYTES: Final = 32
 ADMIN_THREADS: Final = 8
 ADMIN_BODY_BYTES: Final = 1_048_576
+#: Polls of a stream that nobody waits for, in normal polls.
+SLOW_POLLS: Final = 10
 #: Records of a small stream after which a snapshot is due.
 STREAM_SNAPSHOT_RECORDS: Final = 2000
 
@@ -90,6 +94,20 @@
             QualityBook(),
             poll,
         )
+        self._level_follower = Follower(
+            core.log,
+            level_items.STREAM,
+            level_items.CODEC,
+            LevelBook(),
+            poll * SLOW_POLLS,
+        )
+        self._followers: tuple[Follower[Any], ...] = (
+            self._claim_follower,
+            self._spend_follower,
+            self._quality_follower,
+            self._level_follower,
+        )
+        self._levels = LevelRecorder(core.incarnation, core.log)
         self._hold_seconds = settings.number('entry', 'allowance_hold_seconds')
         self.ledger = Ledger(
             core.incarnation, core.log, self._spend_follower, self._hold_seconds
@@ -130,10 +148,13 @@
             settings.number('entry', 'rating_share'),
             core.log,
             self._quality_follower,
+            self._note_rating,
         )
         metrics = ChatMetrics()
         pins = Pins(self._appender, self._claim_follower)
-        self._chat = ChatHandler(self.parts, pins, self._sampler, metrics)
+        self._chat = ChatHandler(
+            self.parts, pins, self._sampler, metrics, self._levels
+        )
         self._services = ServiceHandler(self.parts, self.claims, metrics)
         self._max_body = settings.whole('entry', 'max_body_bytes')
         self._caller_server = Server(
@@ -150,6 +171,7 @@
             self.parts,
             self._changes,
             self._spend_follower,
+            self._level_follower,
             settings.text('entry', 'operator_token_sha256'),
         )
         self._admin_server = Server(
@@ -165,11 +187,7 @@
         core.directory.listen(self.pool.update)
         core.configuration.listen(self.pool.wake)
         self.pool.update()
-        for follower in (
-            self._claim_follower,
-            self._spend_follower,
-            self._quality_follower,
-        ):
+        for follower in self._followers:
             core.spawn(follower.run)
         core.spawn(self._appender.run)
         core.spawn(self._sampler.run)
@@ -182,6 +200,7 @@
         core.every(CHECK_SECONDS, self.pool.check)
         core.every(SWEEP_SECONDS, self._sweep)
         core.every(IDLE_SECONDS, self._give_back)
+        core.every(level_items.SHARE_SECONDS, self._levels.share)
         core.add_check(self._find_problem)
         self._caller_server.start()
         self._admin_server.start()
@@ -235,17 +254,14 @@
                 break
             time.sleep(STEP_SECONDS)
         self._return_allowances()
+        self._levels.share()
         self._appender.stop()
         self._sampler.share()
         self._sampler.stop()
         # Sidecars drop their copies of the bills just confirmed.
         time.sleep(core.heartbeat / 2)
         self.pool.close()
-        for follower in (
-            self._claim_follower,
-            self._spend_follower,
-            self._quality_follower,
-        ):
+        for follower in self._followers:
             follower.stop()
         core.close()
         logger.info('entry stopped')
@@ -305,6 +321,12 @@
         state = self.core.configuration.state
         self.ledger.adopt(copy, state.version(copy.version))
 
+    def _note_rating(self, customer: str, rating: float) -> None:
+        contract = self.core.configuration.state.contract(customer)
+        if contract is not None:
+            bad = rating < contract['quality']
+            self._levels.note(customer, Level.quality, bad=bad)
+
     def _tell_durable(self, requests: list[str]) -> None:
         for link in self.pool.links():
             link.settle(requests)
@@ -318,16 +340,12 @@
         self.claims.sweep()
         self.core.write_snapshot_if_due()
         self._ensure_key()
-        if self.core.reader_is_first():
+        if self.core.is_writer():
             self._write_stream_snapshots()
         self._retire_gone()
 
     def _write_stream_snapshots(self) -> None:
-        for follower in (
-            self._claim_follower,
-            self._spend_follower,
-            self._quality_follower,
-        ):
+        for follower in self._followers:
             if follower.records_since_snapshot >= STREAM_SNAPSHOT_RECORDS:
                 try:
                     follower.write_snapshot()
@@ -339,7 +357,7 @@
         state = self.core.configuration.state
         if not self.core.configuration.is_ready() or state.keys():
             return
-        if state.revision('key/first') or not self.core.reader_is_first():
+        if state.revision('key/first') or not self.core.is_writer():
             return
         body = {'secret': secrets.token_hex(SECRET_BYTES), 'state': 'signing'}
         change = Change(str(uuid.uuid4()), 'key/first', 0, 'toucancourse', body)
--- a/src/toucancourse/delivery/chat.py
+++ b/src/toucancourse/delivery/chat.py
@@ -22,6 +22,7 @@
     UnavailableError,
 )
 from ..protocol import peer_pb2
+from ..report.levels import Level, LevelRecorder
 from ..report.metrics import ChatMetrics
 from ..routing.endpoints import AFFINITY_BYTES
 from ..routing.versions import AUTO, Candidate, Wish, choose_versions
@@ -53,6 +54,17 @@
 #: How often a waiting request looks whether its caller is still there.
 CALLER_CHECK_SECONDS: Final = 0.25
 MAX_CHOICES: Final = 16
+DONE: Final = 'done'
+BROKEN: Final = 'broken'
+#: Outcomes that the caller brought about; no objective counts them.
+CALLER_FAULTS: Final = frozenset(
+    (
+        'caller_gone',
+        'model_not_found',
+        'spend_exhausted',
+        'version_withdrawn',
+    )
+)
 RETRYABLE_STATUS: Final = frozenset((429, 500, 502, 503, 504))
 
 
@@ -90,6 +102,13 @@
     version: str
 
 
+class Answer(NamedTuple):
+    """How a request ended and the body that is left for WSGI."""
+
+    outcome: str
+    body: Iterable[bytes]
+
+
 class ChatHandler:
     """Serves POST /v1/chat/completions."""
 
@@ -99,12 +118,14 @@
         pins: Pins,
         sampler: RatingSampler,
         metrics: ChatMetrics,
+        levels: LevelRecorder,
     ) -> None:
         """Keep the parts."""
         self._parts = parts
         self._pins = pins
         self._sampler = sampler
         self._metrics = metrics
+        self._levels = levels
 
     def serve(
         self,
@@ -162,9 +183,8 @@
             candidates, hold = self._hold(state, exchange, candidates)
             parts.budget.note_request()
             served = self._try_all(exchange, candidates, steps)
-            outcome = 'broken'
-            answer = self._answer(exchange, served, hold)
-            outcome = 'done'
+            outcome = BROKEN
+            outcome, answer = self._answer(exchange, served, hold)
             return answer
         except CourseError as error:
             outcome = error.code
@@ -341,10 +361,12 @@
         exchange: Exchange,
         served: Served,
         hold: Hold,
-    ) -> Iterable[bytes]:
-        self._metrics.first_token.labels(exchange.demand.kind).observe(
-            time.monotonic() - exchange.began
-        )
+    ) -> Answer:
+        waited = time.monotonic() - exchange.began
+        self._metrics.first_token.labels(exchange.demand.kind).observe(waited)
+        limit = exchange.caller.contract.get('first_token_seconds')
+        if limit is not None:
+            self._note_level(exchange, Level.first_token, bad=waited > limit)
         if exchange.is_stream():
             return self._answer_stream(exchange, served, hold)
         return self._answer_whole(exchange, served, hold)
@@ -354,7 +376,7 @@
         exchange: Exchange,
         served: Served,
         hold: Hold,
-    ) -> Iterable[bytes]:
+    ) -> Answer:
         self._await_end(exchange, served)
         end = served.attempt.check()
         head = served.attempt.head
@@ -367,14 +389,14 @@
             head.content_type,
             tuple(self._headers(exchange, served)),
         )
-        return send(response, exchange.start_response)
+        return Answer(DONE, send(response, exchange.start_response))
 
     def _answer_stream(
         self,
         exchange: Exchange,
         served: Served,
         hold: Hold,
-    ) -> Iterable[bytes]:
+    ) -> Answer:
         head = served.attempt.head
         assert head is not None
         write = exchange.start_response(
@@ -399,9 +421,9 @@
         except CourseError as error:
             _write_error(write, error)
             self._count(exchange, served, error.code)
-            return []
+            return Answer(error.code, [])
         self._bill(exchange, served, hold, end, b''.join(sample or ()))
-        return []
+        return Answer(DONE, [])
 
     def _await_end(self, exchange: Exchange, served: Served) -> None:
         attempt = served.attempt
@@ -438,12 +460,17 @@
         state = self._parts.configuration.state
         line = make_line(copy, state.version(served.version))
         self._parts.ledger.settle(hold, line._replace(day=hold.day))
-        self._count(exchange, served, 'done')
+        self._count(exchange, served, DONE)
         self._metrics.cost.labels(exchange.caller.customer, served.version).inc(
             line.cost
         )
         if text and self._sampler.is_sampled():
-            self._sampler.rate(exchange.demand.kind, served.version, text)
+            self._sampler.rate(
+                exchange.caller.customer,
+                exchange.demand.kind,
+                served.version,
+                text,
+            )
 
     def _headers(
         self,
@@ -467,6 +494,19 @@
             exchange.caller.customer, served.version, code
         ).inc()
 
+    def _note_level(
+        self,
+        exchange: Exchange,
+        level: Level,
+        *,
+        bad: bool,
+    ) -> None:
+        customer = exchange.caller.customer
+        self._levels.note(customer, level, bad=bad)
+        self._metrics.levels.labels(customer, str(level)).inc()
+        if bad:
+            self._metrics.bad_levels.labels(customer, str(level)).inc()
+
     def _note(
         self,
         exchange: Exchange,
@@ -475,13 +515,15 @@
         steps: list[Step],
         outcome: str,
     ) -> None:
-        if outcome not in {'done', 'broken'}:
+        if outcome not in {DONE, BROKEN}:
             self._metrics.requests.labels(
                 exchange.caller.customer, '', outcome
             ).inc()
         self._metrics.duration.labels(exchange.demand.kind).observe(
             time.monotonic() - exchange.began
         )
+        if outcome not in CALLER_FAULTS:
+            self._note_level(exchange, Level.availability, bad=outcome != DONE)
         self._parts.decisions.note(
             Decision(
                 exchange.request_id,
--- a/src/toucancourse/delivery/peers.py
+++ b/src/toucancourse/delivery/peers.py
@@ -164,10 +164,7 @@
         gossip.receive_records(message.records)
         if message.HasField('status'):
             gossip.receive(message.status)
-            self._entries[incarnation] = (
-                gossip.instance,
-                message.status.offset,
-            )
+            self._note_offset(incarnation, gossip, message.status.offset)
         for request in message.opens:
             self._open(request, incarnation, outbox)
         for cancel in message.cancels:
@@ -183,6 +180,18 @@
         if message.HasField('settled'):
             self.bills.settle(list(message.settled.requests))
 
+    def _note_offset(
+        self,
+        incarnation: str,
+        gossip: Gossip,
+        offset: int,
+    ) -> None:
+        """Remember an entry's offset; other entries wait to hear of it."""
+        row = (gossip.instance, offset)
+        if self._entries.get(incarnation) != row:
+            self._entries[incarnation] = row
+            self.wake()
+
     def _open(
         self,
         request: peer_pb2.Open,
--- a/src/toucancourse/delivery/ratings.py
+++ b/src/toucancourse/delivery/ratings.py
@@ -2,6 +2,7 @@
 
 import random
 import threading
+from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
 from typing import Final
 
@@ -29,9 +30,11 @@
         share: float,
         log: Log,
         follower: Follower[QualityBook],
+        on_rating: Callable[[str, float], None],
     ) -> None:
         """Keep the parts; without a rater nothing is sampled."""
         self.follower = follower
+        self._on_rating = on_rating
         self._rater = rater
         self._share = share
         self._log = log
@@ -47,12 +50,18 @@
             return False
         return random.random() < self._share
 
-    def rate(self, kind: str, version: str, answer: bytes) -> None:
+    def rate(
+        self,
+        customer: str,
+        kind: str,
+        version: str,
+        answer: bytes,
+    ) -> None:
         """Rate an answer later."""
         with self._lock:
             self._waiting += 1
         text = answer.decode(errors='replace')
-        self._workers.submit(self._rate, kind, version, text)
+        self._workers.submit(self._rate, customer, kind, version, text)
 
     def run(self) -> None:
         """Share the ratings until stopped."""
@@ -77,7 +86,13 @@
         self._stop.set()
         self._workers.shutdown(wait=False, cancel_futures=True)
 
-    def _rate(self, kind: str, version: str, text: str) -> None:
+    def _rate(
+        self,
+        customer: str,
+        kind: str,
+        version: str,
+        text: str,
+    ) -> None:
         try:
             assert self._rater is not None
             rating = self._rater.rate(kind, version, text)
@@ -87,6 +102,7 @@
         finally:
             with self._lock:
                 self._waiting -= 1
+        self._on_rating(customer, rating)
         with self._lock:
             key = (version, kind)
             old = self._sums.get(key, Ratings(*key, 0, 0, 0))
--- a/src/toucancourse/membership/directory.py
+++ b/src/toucancourse/membership/directory.py
@@ -67,6 +67,14 @@
         names = {row.name for row in self._instances if row.zone == zone}
         return name in rank(zone, names | {name})[:readers]
 
+    def is_writer(self, name: str, writers: int) -> bool:
+        """Return True if an entry is one of those that write snapshots.
+
+        True also for an entry that the list doesn't show yet.
+        """
+        names = {row.name for row in self.entries()}
+        return name in rank('snapshots', names | {name})[:writers]
+
     def refresh(self) -> None:
         """Fetch the list once; keep the old one if that fails."""
         try:
--- a/src/toucancourse/report/metrics.py
+++ b/src/toucancourse/report/metrics.py
@@ -22,6 +22,16 @@
             'Billed cost',
             ('customer', 'version'),
         )
+        self.levels = Counter(
+            'toucancourse_level',
+            'Requests counted against an objective',
+            ('customer', 'level'),
+        )
+        self.bad_levels = Counter(
+            'toucancourse_level_bad',
+            'Requests that missed an objective',
+            ('customer', 'level'),
+        )
         self.first_token = Histogram(
             'toucancourse_first_token_seconds',
             'Time to the first byte of an answer',
--- /dev/null
+++ b/standins/users.py
@@ -0,0 +1,172 @@
+"""Both users' fleets and requests, as their brief describes them."""
+
+import json
+from pathlib import Path
+from typing import Any
+
+from .fleet import Answer, Fleet, call, hash_token, wait_until
+
+WORKLOAD = Path(__file__).parent / 'workload'
+KEYS = {'chikugo': 'chikugo-key', 'garmi': 'garmi-key'}
+ZONES = ('zone-a', 'zone-b', 'zone-c', 'zone-d')
+QUALITY = {'small@1': 0.72, 'large@1': 0.93, 'large@2': 0.94}
+VERSIONS: dict[str, dict[str, Any]] = {
+    'small@1': {
+        'state': 'live',
+        'prompt_price': 40,
+        'completion_price': 120,
+        'quality': {'*': 0.72, 'rewind-sheet': 0.5, 'care-plan': 0.55},
+    },
+    'large@1': {
+        'state': 'live',
+        'prompt_price': 400,
+        'completion_price': 1200,
+        'quality': {'*': 0.93},
+    },
+    'large@2': {
+        'state': 'live',
+        'prompt_price': 400,
+        'completion_price': 1200,
+        'quality': {'*': 0.94},
+    },
+}
+SERVICES: dict[str, dict[str, Any]] = {
+    'stock': {'repeatable': ['GET /']},
+    'jobs': {'repeatable': ['GET /']},
+    'booking': {'repeatable': ['GET /']},
+}
+CONTRACTS: dict[str, dict[str, Any]] = {
+    'chikugo': {
+        'versions': ['small@*', 'large@*'],
+        'services': ['stock', 'jobs'],
+        'quality': 0.7,
+        'spend': 50_000_000,
+        'requests_per_second': 200,
+        'concurrent': 200,
+        'max_output_tokens': 2000,
+        'priority': 5,
+        'keys': [hash_token(KEYS['chikugo'])],
+        'availability_objective': 0.99,
+        'first_token_objective': 0.95,
+        'first_token_seconds': 1.0,
+    },
+    'garmi': {
+        'versions': ['small@*', 'large@*'],
+        'services': ['stock', 'booking'],
+        'quality': 0.7,
+        'spend': 50_000_000,
+        'requests_per_second': 200,
+        'concurrent': 200,
+        'max_output_tokens': 2000,
+        'priority': 6,
+        'keys': [hash_token(KEYS['garmi'])],
+        'availability_objective': 0.995,
+        'first_token_objective': 0.95,
+        'first_token_seconds': 0.45,
+    },
+}
+
+
+def load_workload() -> dict[str, dict[str, Any]]:
+    """Return the users' requests by file name."""
+    return {
+        path.stem: json.loads(path.read_text())
+        for path in sorted(WORKLOAD.glob('*.json'))
+    }
+
+
+class UserFleet(Fleet):
+    """Two entries, six engines and six plain services in four zones."""
+
+    def __init__(self, engines: int = 6, **overrides: dict[str, Any]) -> None:
+        """Start everything and publish both users' contracts."""
+        super().__init__(**overrides)
+        try:
+            self._build(engines)
+        except BaseException:
+            self.close()
+            raise
+
+    def ask(self, entry: str, case: dict[str, Any]) -> list[Answer]:
+        """Send one request of the workload; a conversation has several."""
+        headers = {
+            'Authorization': f'Bearer {KEYS[case["customer"]]}',
+            **case['headers'],
+        }
+        if case['call'] == 'service':
+            path = f'/v1/services/{case["service"]}/{case["path"]}'
+            return [
+                self._call(entry, case['method'], path, case, headers),
+            ]
+        headers['X-Kind'] = case['kind']
+        path = '/v1/chat/completions'
+        if case['call'] == 'chat':
+            return [self._call(entry, 'POST', path, case, headers)]
+        answers: list[Answer] = []
+        messages: list[dict[str, str]] = []
+        for turn in case['turns']:
+            messages.append({'role': 'user', 'content': turn})
+            body = {**case['body'], 'messages': messages}
+            if answers and answers[0].status == 200:
+                identifier = answers[0].headers['x-conversation-id']
+                headers['X-Conversation-Id'] = identifier
+            answers.append(
+                self._call(entry, 'POST', path, {'body': body}, headers)
+            )
+            messages.append({'role': 'assistant', 'content': 'noted'})
+        return answers
+
+    def _call(
+        self,
+        entry: str,
+        method: str,
+        path: str,
+        case: dict[str, Any],
+        headers: dict[str, str],
+    ) -> Answer:
+        address = self.daemons[entry].caller_address
+        return call(address, method, path, case.get('body'), headers)
+
+    def _build(self, engines: int) -> None:
+        for number in range(engines):
+            self.add_engine(
+                f'model-{number + 1}',
+                ZONES[number % len(ZONES)],
+                tuple(VERSIONS),
+                quality=json.dumps(QUALITY),
+                step_ms=8.0,
+            )
+        for number, service in enumerate(SERVICES):
+            for copy in (1, 2):
+                zone = ZONES[(number + copy) % len(ZONES)]
+                self.add_service(f'{service}-{copy}', zone, service)
+        for number in (1, 2):
+            self.add_entry(f'entry-{number}', ZONES[number - 1])
+        wait_until(self._has_admin, 30, 'start of the first entry')
+        for zone in ZONES:
+            self._publish(f'zone/{zone}', {'out': False})
+        for name, body in VERSIONS.items():
+            self._publish(f'version/{name}', body)
+        for name, body in SERVICES.items():
+            self._publish(f'service/{name}', body)
+        for name, body in CONTRACTS.items():
+            self._publish(f'contract/{name}', body)
+        self.wait_ready()
+        for name in ('entry-1', 'entry-2'):
+            wait_until(lambda: self._is_linked(name), 30, f'links of {name}')  # noqa: B023
+
+    def _publish(self, name: str, body: object) -> None:
+        answer = self.put('entry-1', name, body)
+        if answer.status != 200 or not answer.json()['in_force']:
+            raise RuntimeError(f'{name}: {answer.body!r}')
+
+    def _has_admin(self) -> bool:
+        try:
+            status = self.admin('entry-1', 'GET', '/status').json()
+        except OSError:
+            return False
+        return bool(status['current'])
+
+    def _is_linked(self, entry: str) -> bool:
+        rows = self.admin(entry, 'GET', '/status').json()['instances']
+        return all(row['connected'] for row in rows if row['role'] == 'sidecar')
