Prove delivery and configuration promises under failure

Cause: the promises were built but not broken on purpose.

Change: tests with real processes behind the fault proxy: kills, cuts, freezes, log outages, lost answers, operator races, partitions between zones. Found and mended: a request whose only endpoint was reconnecting was refused at once (passes over the endpoints with growing waits now); a long poll held the lock that every catch-up needs, so a change took up to 1.5 s (records are folded by offset now and no lock is held while waiting).

Conclusion: the lock was the cause; log order, not the reader, decides.

--- a/src/toucancourse/daemon/core.py
+++ b/src/toucancourse/daemon/core.py
@@ -64,7 +64,7 @@
             stale,
         )
         self.metrics = DaemonMetrics()
-        self.health = Health(self.find_problem)
+        self.health = Health(self.find_problem, self._describe)
         self.leaving = False
         self._extra_problem: Callable[[], str] = str
         self._stop = threading.Event()
@@ -141,6 +141,10 @@
         readers = self.settings.whole('configuration', 'readers_per_zone')
         return self.directory.is_reader(self.instance, self.zone, readers)
 
+    def _describe(self) -> dict[str, object]:
+        state = self.configuration.state
+        return {'offset': state.offset, 'digest': state.digest()}
+
     def _report(self) -> None:
         self.metrics.offset.set(self.configuration.offset)
         self.metrics.proof_age.set(time.monotonic() - self.freshness.proof)
--- a/src/toucancourse/delivery/chat.py
+++ b/src/toucancourse/delivery/chat.py
@@ -1,6 +1,7 @@
 """Chat completions: choose, try, relay, bill."""
 
 import hashlib
+import itertools
 import json
 import time
 from collections.abc import Callable, Iterable, Iterator
@@ -41,6 +42,7 @@
     Decision,
     EntryParts,
     Step,
+    list_passes,
     make_open,
     remaining_seconds,
 )
@@ -304,14 +306,22 @@
         self,
         exchange: Exchange,
         candidates: list[Candidate],
+    ) -> Iterator[tuple[Candidate, Link]]:
+        tries = itertools.count(1)
+        for _ in list_passes(exchange.demand):
+            for candidate, link in self._list_once(exchange, candidates):
+                if next(tries) > MAX_TRIES:
+                    return
+                yield candidate, link
+
+    def _list_once(
+        self,
+        exchange: Exchange,
+        candidates: list[Candidate],
     ) -> Iterator[tuple[Candidate, Link]]:
         prefix = _find_prefix(exchange)
-        tries = 0
         for candidate in candidates:
             for link in self._parts.order_links(candidate.version, prefix):
-                if tries >= MAX_TRIES:
-                    return
-                tries += 1
                 yield candidate, link
 
     def _may_retry(self, last: CourseError) -> bool:
--- a/src/toucancourse/delivery/entry.py
+++ b/src/toucancourse/delivery/entry.py
@@ -1,7 +1,9 @@
 """What the handlers of caller requests share."""
 
+import random
 import time
 from collections import OrderedDict
+from collections.abc import Iterator
 from typing import Final, NamedTuple
 
 from ..admission.limits import ContractLimits, RetryBudget
@@ -12,13 +14,14 @@
 from ..membership.freshness import Freshness
 from ..protocol import peer_pb2
 from ..routing.endpoints import Chooser, PowerOfTwo, PrefixAffinity, View
-from .attempts import Attempt
 from .callers import MS, Caller, Demand
 from .links import Link
 from .pool import Pool
 
 #: Decisions remembered for "explain".
 REMEMBERED_DECISIONS: Final = 5000
+#: Waits between passes over the endpoints of a request.
+PASS_WAITS_SECONDS: Final = (0.1, 0.3, 0.9)
 
 
 class Step(NamedTuple):
@@ -123,8 +126,15 @@
     return max(0.0, demand.deadline - time.monotonic())
 
 
-def describe_error(attempt: Attempt) -> str:
-    """Return the code with which an attempt ended, or 'done'."""
-    if attempt.end is not None:
-        return attempt.end.code or 'done'
-    return 'lost'
+def list_passes(demand: Demand) -> Iterator[None]:
+    """Yield once at once, then after growing waits within the deadline.
+
+    An endpoint that reconnects or frees a place is found by a later pass.
+    """
+    yield
+    for seconds in PASS_WAITS_SECONDS:
+        pause = seconds * random.uniform(0.5, 1)
+        if remaining_seconds(demand) <= pause:
+            return
+        time.sleep(pause)
+        yield
--- a/src/toucancourse/delivery/services.py
+++ b/src/toucancourse/delivery/services.py
@@ -1,5 +1,6 @@
 """Calls to plain services, some of which must run at most once."""
 
+import itertools
 from collections.abc import Iterable
 from typing import Final, NamedTuple
 
@@ -27,7 +28,7 @@
     check_service,
     read_demand,
 )
-from .entry import EntryParts, make_open, remaining_seconds
+from .entry import EntryParts, list_passes, make_open, remaining_seconds
 from .keyed import (
     END_WAIT_SECONDS,
     Claims,
@@ -38,7 +39,6 @@
 from .links import Link
 
 PREFIX: Final = '/v1/services/'
-MAX_TRIES: Final = 4
 
 
 class ServiceCall(NamedTuple):
@@ -140,16 +140,18 @@
     def _run(self, call: ServiceCall) -> Kept:
         """Run an unkeyed call, on another endpoint only if it did not run."""
         last: CourseError = _no_endpoint(call)
-        for tries, link in enumerate(self._links(call)[:MAX_TRIES]):
-            if tries and not self._parts.budget.spend():
-                break
-            try:
-                return self._try_one(call, link, 0)
-            except CourseError as error:
-                last = error
-                self._log_try(call, link, error)
-                if error.outcome is not Outcome.not_run and not call.idempotent:
-                    raise
+        tries = itertools.count()
+        for _ in list_passes(call.demand):
+            for link in self._links(call):
+                if next(tries) and not self._parts.budget.spend():
+                    raise last
+                try:
+                    return self._try_one(call, link, 0)
+                except CourseError as error:
+                    last = error
+                    self._log_try(call, link, error)
+                    if not _may_repeat(call, error):
+                        raise
         raise last
 
     def _run_keyed(self, call: ServiceCall) -> tuple[Kept, bool]:
@@ -160,14 +162,14 @@
             make_digest(call.method, call.target, call.body),
         )
         last: CourseError = _no_endpoint(call)
-        for _ in range(MAX_TRIES):
+        for _ in list_passes(call.demand):
             if self._claims.find(wanted) is not None:
                 kept = self._claims.wait_end(wanted, call.demand.deadline)
                 if kept is not None:
                     return kept, False
             links = self._links(call)
             if not links:
-                raise last
+                continue
             link = links[0]
             claim = self._claims.claim(wanted, link)
             if claim is None:
@@ -229,6 +231,10 @@
         ).info('try ended: {} {}', error.code, error.text)
 
 
+def _may_repeat(call: ServiceCall, error: CourseError) -> bool:
+    return call.idempotent or error.outcome is Outcome.not_run
+
+
 def _make_timeout(attempt: Attempt) -> CourseError:
     if attempt.sent:
         return UnknownOutcomeError('no answer came before the deadline')
--- a/src/toucancourse/membership/reader.py
+++ b/src/toucancourse/membership/reader.py
@@ -42,7 +42,7 @@
         self._poll = poll_seconds
         self._silence = stale_seconds * SILENCE_SHARE
         self._stop = threading.Event()
-        self._once = threading.Lock()
+        self._starting = threading.Lock()
 
     def run(self) -> None:
         """Read until stopped."""
@@ -64,12 +64,15 @@
     def catch_up(self, wait_seconds: float = 0) -> None:
         """Read to the end of the stream once.
 
-        Raises LogDownError.
+        Several threads may read at a time: records are folded by offset, so
+        one that waits for new records never delays another. Raises
+        LogDownError.
         """
-        with self._once:
-            if self._configuration.is_ready():
-                self._read_on(wait_seconds)
-            else:
+        if self._configuration.is_ready():
+            self._read_on(wait_seconds)
+            return
+        with self._starting:
+            if not self._configuration.is_ready():
                 self._start()
 
     def _step(self) -> None:
--- a/src/toucancourse/web/health.py
+++ b/src/toucancourse/web/health.py
@@ -1,6 +1,6 @@
 """Health, readiness and metrics of a daemon."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 from http import HTTPStatus
 
 from prometheus_client import CONTENT_TYPE_LATEST, generate_latest
@@ -11,9 +11,17 @@
 class Health:
     """Serves /healthz, /readyz and /metrics."""
 
-    def __init__(self, find_problem: Callable[[], str]) -> None:
-        """Keep a check that returns why the daemon isn't ready, or ''."""
+    def __init__(
+        self,
+        find_problem: Callable[[], str],
+        describe: Callable[[], Mapping[str, object]],
+    ) -> None:
+        """Keep a check that returns why the daemon isn't ready, or ''.
+
+        What describe returns is shown beside it.
+        """
         self._find_problem = find_problem
+        self._describe = describe
 
     def answer(self, path: str) -> Response | None:
         """Return the answer for a path, or None if it is not ours."""
@@ -21,11 +29,11 @@
             return make_json({'status': 'alive'})
         if path == '/readyz':
             problem = self._find_problem()
+            status = HTTPStatus.OK
             if problem:
-                return make_json(
-                    {'status': problem}, HTTPStatus.SERVICE_UNAVAILABLE
-                )
-            return make_json({'status': 'ready'})
+                status = HTTPStatus.SERVICE_UNAVAILABLE
+            details = {'status': problem or 'ready', **self._describe()}
+            return make_json(details, status)
         if path == '/metrics':
             return Response(
                 HTTPStatus.OK, generate_latest(), CONTENT_TYPE_LATEST
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -271,7 +271,11 @@
         return f'{HOST}:{port}'
 
     def set_fault(self, name: str, mode: str, delay: float = 0) -> None:
-        """Set the fault of all proxy routes whose name starts so."""
+        """Set the fault of all proxy routes whose name matches a pattern.
+
+        Routes are peer:ENTRY:SIDECAR, platform:DAEMON, engine:SIDECAR and
+        service:SIDECAR.
+        """
         body = {'name': name, 'mode': mode, 'delay': delay}
         call(self.proxy, 'POST', '/fault', body)
 
@@ -324,12 +328,26 @@
 
     def publish(self) -> None:
         """Publish the instance list as it is now."""
-        rows = []
-        for daemon in self.daemons.values():
-            row = daemon.row()
-            row['address'] = self._proxied.get(daemon.name, row['address'])
-            rows.append(row)
+        rows = [daemon.row() for daemon in self.daemons.values()]
         call(self.platform, 'POST', '/instances', {'instances': rows})
+        if self.proxy:
+            for daemon in self.daemons.values():
+                if daemon.role == 'entry':
+                    self._publish_proxied(daemon.name, rows)
+
+    def _publish_proxied(self, entry: str, rows: list[dict[str, str]]) -> None:
+        """Publish a list in which the entry's links run through the proxy."""
+        proxied = []
+        for row in rows:
+            address = row['address']
+            if row['role'] == 'sidecar':
+                name = f'peer:{entry}:{row["name"]}'
+                if name not in self._proxied:
+                    self._proxied[name] = self.through_proxy(name, address)
+                address = self._proxied[name]
+            proxied.append({**row, 'address': address})
+        body = {'reader': entry, 'instances': proxied}
+        call(self.platform, 'POST', '/instances', body)
 
     def wait_ready(self, *names: str, timeout: float = START_SECONDS) -> None:
         """Wait until the named daemons, or all, are ready."""
@@ -423,10 +441,6 @@
             **settings,
         }
         daemon = Daemon(name, sections, self.folder)
-        if self.proxy:
-            self._proxied[name] = self.through_proxy(
-                f'peer:{name}', daemon.address
-            )
         return self._add_daemon(daemon)
 
     def _add_daemon(self, daemon: Daemon) -> Daemon:
@@ -455,7 +469,7 @@
             'log': {'format': 'json', **self._overrides.get('log', {})},
             'platform': {
                 'log_url': url,
-                'instances_url': url,
+                'instances_url': f'{url}/for/{name}',
                 'rater_url': url,
                 **self._overrides.get('platform', {}),
             },
--- a/standins/platform.py
+++ b/standins/platform.py
@@ -111,23 +111,34 @@
     def __init__(self, lag: float) -> None:
         """Keep the lag in seconds."""
         self._lag = lag
-        self._versions: list[tuple[float, list[Any]]] = [(0.0, [])]
+        #: Reader ('' for all others) -> times and lists.
+        self._versions: dict[str, list[tuple[float, list[Any]]]] = {
+            '': [(0.0, [])]
+        }
         self.down = False
 
-    def set(self, rows: list[Any]) -> None:
+    def set(self, reader: str, rows: list[Any]) -> None:
         """Publish a new list, seen after the lag."""
-        self._versions.append((time.monotonic(), rows))
+        versions = self._versions.setdefault(reader, [(0.0, [])])
+        versions.append((time.monotonic(), rows))
 
     def handle(self, call: Call) -> None:
-        """Answer /instances."""
+        """Answer /instances, or /for/READER/instances.
+
+        Readers get lists of their own where each of their links runs through
+        a proxy route of its own.
+        """
         if call.method == 'POST':
-            self.set(call.json()['instances'])
+            body = call.json()
+            self.set(body.get('reader', ''), body['instances'])
             call.reply({})
         elif self.down:
             call.reply({'error': 'outage'}, 503)
         else:
             limit = time.monotonic() - self._lag
-            seen = [rows for at, rows in self._versions if at <= limit]
+            reader = call.path.split('/')[2] if '/for/' in call.path else ''
+            versions = self._versions.get(reader) or self._versions['']
+            seen = [rows for at, rows in versions if at <= limit]
             call.reply({'instances': seen[-1]})
 
 
@@ -147,7 +158,7 @@
         """Answer one request."""
         if call.path.startswith('/streams/'):
             self.log.handle(call)
-        elif call.path == '/instances':
+        elif call.path.endswith('/instances'):
             self.list.handle(call)
         elif call.path == '/rate':
             self._rate(call)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -5,6 +5,7 @@
 import socket
 import threading
 import time
+from fnmatch import fnmatch
 from typing import Any
 
 from .serving import Call, parse_port, serve, wait_forever
@@ -20,27 +21,42 @@
         """Listen at once."""
         host, _, port = target.rpartition(':')
         self.target = (host, int(port))
-        #: 'none', 'cut', 'freeze', 'lose_replies' or 'delay'.
+        #: 'none', 'cut', 'refuse', 'freeze', 'lose_replies' or 'delay'.
         self.mode = 'none'
         #: Upper bound of the delay of one connection, in seconds.
         self.delay = 0.0
         self.bytes = 0
         self._random = random.Random(seed)
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
-        self._server = socket.create_server(('127.0.0.1', listen))
-        threading.Thread(target=self._accept, daemon=True).start()
+        self._listen = listen
+        self._open()
 
     def set(self, mode: str, delay: float) -> None:
-        """Change the fault; 'cut' also breaks open connections."""
+        """Change the fault; 'cut' and 'refuse' break open connections."""
+        before = self.mode
         self.mode = mode
         self.delay = delay
-        if mode == 'cut':
+        if mode in {'cut', 'refuse'}:
             for pair in list(self._pairs):
                 self._close(pair)
-
-    def _accept(self) -> None:
+        if mode == 'refuse' != before:
+            self._server.shutdown(socket.SHUT_RDWR)
+            self._server.close()
+        elif before == 'refuse' != mode:
+            self._open()
+
+    def _open(self) -> None:
+        self._server = socket.create_server(('127.0.0.1', self._listen))
+        threading.Thread(
+            target=self._accept, args=(self._server,), daemon=True
+        ).start()
+
+    def _accept(self, server: socket.socket) -> None:
         while True:
-            client, _ = self._server.accept()
+            try:
+                client, _ = server.accept()
+            except OSError:
+                return
             if self.mode == 'cut':
                 client.close()
                 continue
@@ -125,7 +141,7 @@
             )
         elif call.path == '/fault':
             for name, route in self._routes.items():
-                if name.startswith(body['name']):
+                if fnmatch(name, body['name']):
                     route.set(body['mode'], body.get('delay', 0.0))
         elif call.path == '/counts':
             counts = {name: row.bytes for name, row in self._routes.items()}
--- a/tests/world.py
+++ b/tests/world.py
@@ -162,7 +162,7 @@
         for customer, key in (('chikugo', CHIKUGO_KEY), ('garmi', GARMI_KEY)):
             self.apply(first, f'contract/{customer}', make_contract(key))
         self.wait_ready()
-        wait_until(self._all_linked, 20, 'links of all entries')
+        wait_until(self.all_linked, 20, 'links of all entries')
 
     def admin_is_up(self, entry: str) -> bool:
         """Return True once an entry has a configuration."""
@@ -183,7 +183,7 @@
         """Return an entry's status."""
         return self.admin(entry, 'GET', '/status').json()
 
-    def _all_linked(self) -> bool:
+    def all_linked(self) -> bool:
         entries = [
             name for name, row in self.daemons.items() if row.role == 'entry'
         ]
