--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -334,6 +334,8 @@
     def _find_problem(self) -> str:
         if not any(link.is_usable() for link in self.pool.links()):
             return 'no endpoint is connected'
+        if not self.core.configuration.state.keys():
+            return 'no key signs conversation ids yet'
         return ''
 
     def _sweep(self) -> None:
