--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements on real processes."""
--- /dev/null
+++ b/bench/worlds.py
@@ -0,0 +1,89 @@
+"""A fleet for measurements: one customer, cheap engines, no limits."""
+
+import time
+from typing import Any
+
+from standins.fleet import Fleet, hash_token, wait_until
+
+KEY = 'bench-key'
+VERSION = {
+    'state': 'live',
+    'prompt_price': 1,
+    'completion_price': 1,
+    'quality': {'*': 0.9},
+}
+CONTRACT = {
+    'versions': ['small@1'],
+    'services': ['booking'],
+    'quality': 0.5,
+    'spend': 10**14,
+    'requests_per_second': 10**6,
+    'concurrent': 10**6,
+    'max_output_tokens': 10**5,
+    'priority': 5,
+    'keys': [hash_token(KEY)],
+}
+
+
+class BenchWorld(Fleet):
+    """Some engines with sidecars, a booking service and some entries."""
+
+    def __init__(
+        self,
+        engines: int,
+        entries: int = 1,
+        *,
+        step_ms: float = 10.0,
+        slots: int = 400,
+        zones: int = 1,
+        **overrides: dict[str, Any],
+    ) -> None:
+        """Start everything and wait until it serves."""
+        settings = {'threads': 1000, 'rating_share': 0, 'max_peers': 1000}
+        entry = {**settings, **overrides.pop('entry', {})}
+        sidecar = {'slots': slots, **overrides.pop('sidecar', {})}
+        super().__init__(entry=entry, sidecar=sidecar, **overrides)
+        try:
+            self._build(engines, entries, step_ms, zones, slots)
+        except BaseException:
+            self.close()
+            raise
+
+    def _build(
+        self,
+        engines: int,
+        entries: int,
+        step_ms: float,
+        zones: int,
+        slots: int,
+    ) -> None:
+        for number in range(engines):
+            self.add_engine(
+                f'm{number}',
+                f'zone-{number % zones}',
+                ('small@1',),
+                step_ms=step_ms,
+                slots=slots,
+                prefill_rate=10**6,
+            )
+        self.add_service('b0', 'zone-0', 'booking')
+        for number in range(entries):
+            self.add_entry(f'e{number + 1}', f'zone-{number % zones}')
+        wait_until(self._has_admin, 60, 'start of the first entry')
+        for name, body in (
+            ('version/small@1', VERSION),
+            ('service/booking', {'repeatable': []}),
+            ('contract/bench', CONTRACT),
+        ):
+            answer = self.put('e1', name, body)
+            if answer.status != 200:
+                raise RuntimeError(f'{name}: {answer.body!r}')
+        self.wait_ready(timeout=60)
+        time.sleep(1)
+
+    def _has_admin(self) -> bool:
+        try:
+            status = self.admin('e1', 'GET', '/status').json()
+        except OSError:
+            return False
+        return bool(status['current'])
--- a/src/toucancourse/admission/window.py
+++ b/src/toucancourse/admission/window.py
@@ -4,7 +4,7 @@
 import itertools
 import threading
 import time
-from typing import Final, NamedTuple
+from typing import Final
 
 from ..errors import UnavailableError
 
@@ -18,11 +18,13 @@
     code = 'endpoint_full'
 
 
-class _Ticket(NamedTuple):
-    """A place in the queue; lower sorts first."""
+class _Ticket:
+    """A request that waits for a place."""
 
-    rank: int
-    number: int
+    def __init__(self, priority: int, number: int) -> None:
+        self.rank = (-priority, number)
+        self.called = threading.Event()
+        self.admitted = False
 
 
 class Window:
@@ -40,7 +42,7 @@
         proof_seconds: float,
     ) -> None:
         """Keep the limits; the window starts cold."""
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
         self._slots = slots
         self._first_token = first_token_seconds
         self._proof_seconds = proof_seconds
@@ -79,72 +81,68 @@
         Raises FullError if none came free in time, or if the queue is full
         and holds nothing of a lower priority.
         """
-        deadline = time.monotonic() + timeout
-        with self._changed:
-            ticket = _Ticket(-priority, next(self._tickets))
+        with self._lock:
+            ticket = _Ticket(priority, next(self._tickets))
             self._join(ticket)
-            try:
-                self._await_place(ticket, deadline)
-            finally:
-                if ticket in self._queue:
-                    self._queue.remove(ticket)
-                self._changed.notify_all()
-            self._running += 1
+            self._admit()
+        if not ticket.called.wait(timeout):
+            self._leave(ticket)
+        if not ticket.admitted:
+            raise FullError(
+                f'the endpoint runs {self._running} of {self._window} and '
+                f'{len(self._queue)} wait',
+            )
 
     def release(self) -> None:
         """Give a place back."""
-        with self._changed:
+        with self._lock:
             self._running -= 1
-            self._changed.notify_all()
+            self._admit()
 
     def note_token(self) -> None:
         """Take a token as proof that the endpoint is working."""
-        now = time.monotonic()
-        stalled = now - self._last_token > self._proof_seconds
-        self._last_token = now
-        if stalled and self._queue:
-            with self._changed:
-                self._changed.notify_all()
+        self._last_token = time.monotonic()
+        if self._queue:
+            with self._lock:
+                self._admit()
 
     def note_first_token(self, seconds: float) -> None:
         """Grow the window if the first token came in time, else collapse."""
-        with self._changed:
+        with self._lock:
             if seconds > self._first_token:
                 self._window = COLD_WINDOW
                 return
             self._last_token = time.monotonic()
             self._window = min(self._slots, self._window + 1)
-            self._changed.notify_all()
+            self._admit()
 
     def note_failure(self) -> None:
         """Collapse the window after a sign that the endpoint is cold."""
-        with self._changed:
+        with self._lock:
             self._window = COLD_WINDOW
             self._last_token = float('-inf')
 
-    def _join(self, ticket: '_Ticket') -> None:
+    def _join(self, ticket: _Ticket) -> None:
         if len(self._queue) >= self._slots:
             lowest = self._queue[-1]
-            if ticket > lowest:
+            if ticket.rank > lowest.rank:
                 raise FullError("the endpoint's queue is full")
-            # Its waiter finds its ticket gone and gives up.
             self._queue.remove(lowest)
-            self._changed.notify_all()
-        bisect.insort(self._queue, ticket)
-
-    def _await_place(self, ticket: '_Ticket', deadline: float) -> None:
-        while True:
-            if ticket not in self._queue:
-                raise FullError('the request was shed for a higher priority')
-            if self._queue[0] == ticket and self._has_place():
-                return
-            remaining = deadline - time.monotonic()
-            if remaining <= 0:
-                raise FullError(
-                    f'the endpoint runs {self._running} of {self._window}'
-                )
-            # A stalled endpoint frees no place by itself, so look again.
-            self._changed.wait(min(remaining, self._proof_seconds))
+            lowest.called.set()
+        bisect.insort(self._queue, ticket, key=lambda waiting: waiting.rank)
+
+    def _leave(self, ticket: _Ticket) -> None:
+        with self._lock:
+            if ticket in self._queue:
+                self._queue.remove(ticket)
+
+    def _admit(self) -> None:
+        """Call those in front of the queue for whom there is a place."""
+        while self._queue and self._has_place():
+            ticket = self._queue.pop(0)
+            self._running += 1
+            ticket.admitted = True
+            ticket.called.set()
 
     def _has_place(self) -> bool:
         if self._running < COLD_WINDOW:
--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -13,6 +13,8 @@
 from .sidecar import Sidecar
 
 EXIT_SETTINGS = 2
+#: How long a thread keeps the interpreter while others wait for it.
+SWITCH_SECONDS = 0.0005
 EXIT_FAILED = 1
 
 
@@ -40,6 +42,7 @@
 def run(settings: Settings) -> int:
     """Serve until SIGTERM or SIGINT; return the exit code."""
     set_up_logs(settings)
+    sys.setswitchinterval(SWITCH_SECONDS)
     asked = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: asked.set())
     signal.signal(signal.SIGINT, lambda *_: asked.set())
--- a/src/toucancourse/delivery/attempts.py
+++ b/src/toucancourse/delivery/attempts.py
@@ -53,18 +53,27 @@
         self._parts: list[bytes] = []
         self._writer: Writer | None = None
 
-    def deliver(self, frame: peer_pb2.Frame) -> None:
-        """Take a frame; repeated ones are dropped."""
-        if frame.seq < self.next_seq or self._error is not None:
-            return
-        if frame.seq > self.next_seq:
-            self.fail(EndpointError('a frame of the answer is missing'))
-            return
-        self.next_seq += 1
-        if frame.data:
-            self._take_data(frame.data)
-        if frame.HasField('head') or frame.HasField('end'):
-            self._take_mark(frame)
+    def deliver(self, frames: list[peer_pb2.Frame]) -> None:
+        """Take the frames of one message; repeated ones are dropped.
+
+        Frames that arrive together are written at once, so a slow moment
+        costs fewer writes and not more.
+        """
+        parts: list[bytes] = []
+        for frame in frames:
+            if frame.seq < self.next_seq or self._error is not None:
+                continue
+            if frame.seq > self.next_seq:
+                self.fail(EndpointError('a frame of the answer is missing'))
+                return
+            self.next_seq += 1
+            if frame.data:
+                parts.append(frame.data)
+        if parts:
+            self._take_data(parts[0] if len(parts) == 1 else b''.join(parts))
+        for frame in (frames[0], frames[-1]):
+            if frame.HasField('head') or frame.HasField('end'):
+                self._take_mark(frame)
 
     def fail(self, error: CourseError) -> None:
         """End the attempt with an error unless it has ended."""
@@ -89,6 +98,14 @@
         with self._changed:
             return self._changed.wait_for(self.has_ended, timeout)
 
+    def wait_end_or_leave(self, timeout: float) -> bool:
+        """Return as wait_end(), but at once if the caller is gone."""
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self.has_ended() or self.caller_gone, timeout
+            )
+            return self.has_ended()
+
     def write_to(self, writer: Writer) -> None:
         """Write what came so far, and all that comes later, to a writer."""
         with self._changed:
--- a/src/toucancourse/delivery/chat.py
+++ b/src/toucancourse/delivery/chat.py
@@ -55,6 +55,7 @@
 MAX_TRIES: Final = 6
 #: How often a waiting request looks whether its caller is still there.
 CALLER_CHECK_SECONDS: Final = 0.25
+STREAM_CHECK_SECONDS: Final = 2.0
 MAX_CHOICES: Final = 16
 DONE: Final = 'done'
 BROKEN: Final = 'broken'
@@ -426,8 +427,6 @@
         try:
             self._await_end(exchange, served)
             end = served.attempt.check()
-        except CallerGoneError:
-            raise
         except CourseError as error:
             _write_error(write, error)
             self._count(exchange, served, error.code)
@@ -437,7 +436,12 @@
 
     def _await_end(self, exchange: Exchange, served: Served) -> None:
         attempt = served.attempt
-        while not attempt.wait_end(CALLER_CHECK_SECONDS):
+        # A failed write tells of a caller that left a stream, so its thread
+        # need not wake up often.
+        period = CALLER_CHECK_SECONDS
+        if exchange.is_stream():
+            period = STREAM_CHECK_SECONDS
+        while not attempt.wait_end_or_leave(period):
             gone = attempt.caller_gone or is_disconnected(
                 exchange.request.environ
             )
--- a/src/toucancourse/delivery/dispatch.py
+++ b/src/toucancourse/delivery/dispatch.py
@@ -113,7 +113,9 @@
             else:
                 self._relay_service(running, call)
         except (UnknownOutcomeError, EndpointError):
-            self._window.note_failure()
+            # A cancelled call breaks by our own doing.
+            if not running.cancelled:
+                self._window.note_failure()
             raise
         finally:
             call.close()
--- a/src/toucancourse/delivery/links.py
+++ b/src/toucancourse/delivery/links.py
@@ -301,15 +301,8 @@
         message: peer_pb2.SidecarMessage,
         gossip: Gossip,
     ) -> None:
-        attempts = self._attempts
-        for frame in message.frames:
-            attempt = attempts.get(frame.attempt)
-            if attempt is None:
-                continue
-            attempt.deliver(frame)
-            if attempt.has_ended():
-                attempts.pop(frame.attempt, None)
-                self._outbox.put(frame.attempt, urgent=False)
+        if message.frames:
+            self._receive_frames(message)
         if message.records:
             gossip.receive_records(message.records)
         if message.HasField('status'):
@@ -323,6 +316,19 @@
         for copy in message.bills:
             self._adopt_bill(copy)
 
+    def _receive_frames(self, message: peer_pb2.SidecarMessage) -> None:
+        grouped: dict[int, list[peer_pb2.Frame]] = {}
+        for frame in message.frames:
+            grouped.setdefault(frame.attempt, []).append(frame)
+        for number, frames in grouped.items():
+            attempt = self._attempts.get(number)
+            if attempt is None:
+                continue
+            attempt.deliver(frames)
+            if attempt.has_ended():
+                self._attempts.pop(number, None)
+                self._outbox.put(number, urgent=False)
+
     def _receive_entry(self, row: peer_pb2.EntryOffset) -> None:
         if row.gone:
             self.entry_incarnations.discard(row.incarnation)
