--- a/src/toucancourse/admin/operators.py
+++ b/src/toucancourse/admin/operators.py
@@ -11,7 +11,9 @@
 #: Role -> rank; a higher rank includes the lower ones.
 RANKS: Final = {'read': 0, 'operate': 1, 'administer': 2}
 #: Object kinds that need no more than "operate".
-OPERATED_KINDS: Final = frozenset(('rollout', 'zone', 'instance', 'version'))
+OPERATED_KINDS: Final = frozenset(
+    ('rollout', 'zone', 'instance', 'version', 'placement')
+)
 FIRST_OPERATOR: Final = 'first'
 
 
--- a/src/toucancourse/command/actions.py
+++ b/src/toucancourse/command/actions.py
@@ -152,6 +152,14 @@
     return _submit(client, arguments, name, base, body)
 
 
+def place_versions(client: Client, arguments: argparse.Namespace) -> int:
+    """Say which versions an instance's engine is to have loaded."""
+    name = f'placement/{arguments.instance}'
+    base, _ = client.find(name)
+    body = {'versions': arguments.versions}
+    return _submit(client, arguments, name, base, body)
+
+
 def add_operator(client: Client, arguments: argparse.Namespace) -> int:
     """Add an operator and print the new token once."""
     name = f'operator/{arguments.name}'
--- a/src/toucancourse/command/arguments.py
+++ b/src/toucancourse/command/arguments.py
@@ -157,6 +157,13 @@
     keys = _group(commands, 'key', 'keys that sign conversation ids')
     _add(keys, 'list', readings.list_keys, 'list all')
     _change(keys, 'rotate', actions.rotate_key, 'sign with a new key')
+    placements = _group(commands, 'placement', 'versions of each engine')
+    _add(placements, 'list', readings.list_placements, 'list all')
+    placement = _change(
+        placements, 'set', actions.place_versions, 'say what an engine loads'
+    )
+    placement.add_argument('instance')
+    placement.add_argument('versions', nargs='*', metavar='MODEL@VERSION')
     services = _group(commands, 'service', 'plain services')
     _add(services, 'list', readings.list_services, 'list all')
     service = _change(services, 'add', actions.add_service, 'add or change one')
--- a/src/toucancourse/command/readings.py
+++ b/src/toucancourse/command/readings.py
@@ -46,6 +46,11 @@
     return _list(client, arguments, 'service')
 
 
+def list_placements(client: Client, arguments: argparse.Namespace) -> int:
+    """List what each engine is to have loaded."""
+    return _list(client, arguments, 'placement')
+
+
 def list_operators(client: Client, arguments: argparse.Namespace) -> int:
     """List the operators."""
     return _list(client, arguments, 'operator')
--- a/src/toucancourse/contract/objects.py
+++ b/src/toucancourse/contract/objects.py
@@ -60,6 +60,12 @@
     out: bool
 
 
+class PlacementBody(TypedDict):
+    """The versions that one endpoint's engine is to have loaded."""
+
+    versions: list[str]
+
+
 class ServiceBody(TypedDict):
     """A plain service. Repeatable calls are "METHOD /path-prefix"."""
 
@@ -225,6 +231,9 @@
     'instance': {
         'out': Rule('true or false', lambda value: value in (True, False)),
     },
+    'placement': {
+        'versions': _texts(_VERSION_NAME, '"model@version" names'),
+    },
     'service': {
         'repeatable': _texts('[A-Z]+ /.*', '"METHOD /path-prefix"'),
     },
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -36,6 +36,7 @@
 from ..report import levels as level_items
 from ..report.levels import Level, LevelBook, LevelRecorder
 from ..report.metrics import ChatMetrics
+from ..rollout.watch import RolloutWatch
 from ..routing import quality as quality_items
 from ..routing.endpoints import PowerOfTwo, PrefixAffinity
 from ..routing.quality import QualityBook
@@ -59,6 +60,7 @@
 SWEEP_SECONDS: Final = 1.0
 IDLE_SECONDS: Final = 10.0
 STEP_SECONDS: Final = 0.02
+CHANGE_SECONDS: Final = 1.0
 SECRET_BYTES: Final = 32
 ADMIN_THREADS: Final = 8
 ADMIN_BODY_BYTES: Final = 1_048_576
@@ -167,6 +169,11 @@
             ),
         )
         self._changes = Changes(core.log, core.configuration, core.reader)
+        self._watch = RolloutWatch(
+            core.configuration,
+            self._quality_follower,
+            lambda change: self._changes.submit(change, CHANGE_SECONDS),
+        )
         admin = AdminHandler(
             self.parts,
             self._changes,
@@ -190,7 +197,11 @@
         for follower in self._followers:
             core.spawn(follower.run)
         core.spawn(self._appender.run)
-        core.spawn(self._sampler.run)
+        core.spawn(
+            lambda: self._sampler.run(
+                self._settings.number('entry', 'rating_seconds')
+            )
+        )
         core.spawn(
             lambda: self.ledger.run(
                 self._settings.number('entry', 'bill_seconds'),
@@ -344,6 +355,7 @@
         self._ensure_key()
         if self.core.is_writer():
             self._write_stream_snapshots()
+            self._watch.check()
         self._retire_gone()
 
     def _write_stream_snapshots(self) -> None:
@@ -363,7 +375,7 @@
             return
         body = {'secret': secrets.token_hex(SECRET_BYTES), 'state': 'signing'}
         change = Change(str(uuid.uuid4()), 'key/first', 0, 'toucancourse', body)
-        self._changes.submit(change, 1.0)
+        self._changes.submit(change, CHANGE_SECONDS)
 
     def _give_back(self) -> None:
         try:
--- a/src/toucancourse/daemon/sidecar.py
+++ b/src/toucancourse/daemon/sidecar.py
@@ -12,7 +12,9 @@
 from ..delivery.dispatch import Dispatcher, Limits
 from ..delivery.peers import Identity, PeerServicer
 from ..platform.engine import HttpEngine, LoadReport
+from ..platform.weights import FreeWeightStore, HttpWeightStore
 from ..protocol import peer_pb2, peer_pb2_grpc
+from ..rollout.placement import Placer
 from ..settings.files import Settings
 from .core import Core
 
@@ -21,6 +23,7 @@
 LOAD_SECONDS: Final = 0.25
 #: Tokens must have come this recently for more work than a cold one bears.
 PROOF_SECONDS: Final = 0.15
+ORDER_SECONDS: Final = 0.5
 TEND_SECONDS: Final = 1.0
 BILL_WAIT_SECONDS: Final = 3.0
 STEP_SECONDS: Final = 0.02
@@ -37,6 +40,14 @@
         url = settings.text('sidecar', 'endpoint_url')
         slots = settings.whole('sidecar', 'slots')
         self._engine = HttpEngine(url, self.core.timeout)
+        weights_url = settings.text('platform', 'weights_url')
+        self._placer = Placer(
+            self.core.instance,
+            self._engine,
+            HttpWeightStore(weights_url, self.core.timeout)
+            if weights_url
+            else FreeWeightStore(),
+        )
         self._report = LoadReport((), cold=True, running=0)
         self._window = Window(
             slots,
@@ -85,6 +96,7 @@
         if self._kind == 'model':
             self._poll_engine()
             self.core.every(LOAD_SECONDS, self._poll_engine)
+            self.core.every(ORDER_SECONDS, self._give_orders)
         self.core.every(TEND_SECONDS, self.servicer.tend_gone)
         address = self._settings.text('sidecar', 'peer_address')
         if not self._server.add_insecure_port(address):
@@ -112,6 +124,11 @@
         core.close()
         logger.info('sidecar stopped')
 
+    def _give_orders(self) -> None:
+        if self.core.freshness.is_current():
+            state = self.core.configuration.state
+            self._placer.check(state, self._report.versions)
+
     def _offers(self) -> tuple[str, ...]:
         if self._kind == 'service':
             return (self._settings.text('sidecar', 'service'),)
--- a/src/toucancourse/delivery/chat.py
+++ b/src/toucancourse/delivery/chat.py
@@ -11,7 +11,7 @@
 from loguru import logger
 
 from ..billing.ledger import Hold, find_cost, make_line
-from ..contract.objects import VersionBody
+from ..contract.objects import VersionBody, split_version
 from ..contract.state import State
 from ..errors import (
     BadRequestError,
@@ -25,6 +25,7 @@
 from ..protocol import peer_pb2
 from ..report.levels import Level, LevelRecorder
 from ..report.metrics import ChatMetrics
+from ..rollout.watch import OUTCOME_KIND
 from ..routing.endpoints import AFFINITY_BYTES
 from ..routing.versions import AUTO, Candidate, Wish, choose_versions
 from ..web.messages import (
@@ -354,13 +355,21 @@
                 )
         except CourseError as error:
             link.cancel(attempt)
-            parts.note_attempt(
-                link, failed=error.outcome is not Outcome.not_run
-            )
+            failed = error.outcome is not Outcome.not_run
+            parts.note_attempt(link, failed=failed)
+            if failed and not isinstance(error, CallerGoneError):
+                self._note_outcome(version, good=False)
             raise
         parts.note_attempt(link, failed=False)
         return Served(attempt, link, version)
 
+    def _note_outcome(self, version: str, *, good: bool) -> None:
+        """Count a try of a roll-out's target, for the roll-out's watch."""
+        model, _ = split_version(version)
+        rollout = self._parts.configuration.state.rollout(model)
+        if rollout and rollout['target'] == version:
+            self._sampler.note(version, OUTCOME_KIND, float(good))
+
     def _await_head(self, exchange: Exchange, attempt: Attempt) -> None:
         while not attempt.wait_head(CALLER_CHECK_SECONDS):
             if remaining_seconds(exchange.demand) <= 0:
@@ -429,6 +438,8 @@
             self._await_end(exchange, served)
             end = served.attempt.check()
         except CourseError as error:
+            if not isinstance(error, CallerGoneError):
+                self._note_outcome(served.version, good=False)
             _write_error(write, error)
             self._count(exchange, served, error.code)
             return Answer(error.code, [])
@@ -476,6 +487,7 @@
         line = make_line(copy, state.version(served.version))
         self._parts.ledger.settle(hold, line._replace(day=hold.day))
         self._count(exchange, served, DONE)
+        self._note_outcome(served.version, good=True)
         self._metrics.cost.labels(exchange.caller.customer, served.version).inc(
             line.cost
         )
--- a/src/toucancourse/delivery/ratings.py
+++ b/src/toucancourse/delivery/ratings.py
@@ -18,7 +18,6 @@
 RATER_THREADS: Final = 2
 #: Answers that wait for the rater; more are not rated.
 MAX_WAITING: Final = 100
-SHARE_SECONDS: Final = 2.0
 
 
 class RatingSampler:
@@ -63,9 +62,21 @@
         text = answer.decode(errors='replace')
         self._workers.submit(self._rate, customer, kind, version, text)
 
-    def run(self) -> None:
-        """Share the ratings until stopped."""
-        while not self._stop.wait(SHARE_SECONDS):
+    def note(self, version: str, kind: str, rating: float) -> None:
+        """Count one rating, to be shared later."""
+        key = (version, kind)
+        with self._lock:
+            old = self._sums.get(key, Ratings(*key, 0, 0, 0))
+            self._sums[key] = Ratings(
+                *key,
+                old.number + 1,
+                old.total + rating,
+                old.squares + rating**2,
+            )
+
+    def run(self, period_seconds: float) -> None:
+        """Share the ratings each period until stopped."""
+        while not self._stop.wait(period_seconds):
             self.share()
 
     def share(self) -> None:
@@ -103,12 +114,4 @@
             with self._lock:
                 self._waiting -= 1
         self._on_rating(customer, rating)
-        with self._lock:
-            key = (version, kind)
-            old = self._sums.get(key, Ratings(*key, 0, 0, 0))
-            self._sums[key] = Ratings(
-                *key,
-                old.number + 1,
-                old.total + rating,
-                old.squares + rating**2,
-            )
+        self.note(version, kind, rating)
--- a/src/toucancourse/routing/quality.py
+++ b/src/toucancourse/routing/quality.py
@@ -62,6 +62,10 @@
         key = (version, kind)
         return self._sums.get(key, Ratings(*key, 0, 0, 0))
 
+    def kinds(self, version: str) -> list[str]:
+        """Return the kinds of work that a version was rated on."""
+        return sorted(kind for name, kind in self._sums if name == version)
+
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON values."""
         return {'sums': [list(row) for row in self._sums.values()]}
--- a/src/toucancourse/settings/schema.py
+++ b/src/toucancourse/settings/schema.py
@@ -134,6 +134,7 @@
         'allowance_hold_seconds': decimal(900, 1, 86400),
         'claim_seconds': decimal(0.02, 0, 1),
         'rating_share': decimal(0.1, 0, 1),
+        'rating_seconds': decimal(2, 0.1, 300),
     },
     'sidecar': {
         'peer_address': ADDRESS,
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -471,6 +471,7 @@
                 'log_url': url,
                 'instances_url': f'{url}/for/{name}',
                 'rater_url': url,
+                'weights_url': url,
                 **self._overrides.get('platform', {}),
             },
             'configuration': {**self._overrides.get('configuration', {})},
--- /dev/null
+++ b/tests/test_placement.py
@@ -0,0 +1,94 @@
+"""Engines load what their placement says, fenced or not."""
+
+import time
+
+import pytest
+
+from standins.fleet import Fleet, call, wait_until
+from toucancourse.contract.state import State, Stored
+from toucancourse.rollout.placement import Order, list_orders
+
+from .world import VERSIONS, World
+
+BODY = VERSIONS['small@1']
+
+
+class TestListOrders:
+    """The missing orders follow from placement and what is loaded."""
+
+    def test_difference(self) -> None:
+        """Loads come first, withdrawn versions go, the fence is the plan's."""
+        withdrawn = {**BODY, 'state': 'withdrawn'}
+        state = State(
+            9,
+            {
+                'version/a@1': Stored(1, 'a', BODY),
+                'version/a@2': Stored(2, 'b', withdrawn),
+                'placement/m1': Stored(7, 'c', {'versions': ['a@1', 'a@2']}),
+            },
+        )
+        orders = list(list_orders(state, 'm1', ('a@2', 'b@1')))
+        assert orders == [
+            Order('load', 'a@1', 7),
+            Order('unload', 'a@2', 7),
+            Order('unload', 'b@1', 7),
+        ]
+        assert not list(list_orders(state, 'm2', ('b@1',)))
+
+
+class TestOrders:
+    """Real engines, one that checks fences and one that ignores them."""
+
+    @pytest.mark.parametrize('checks_fence', [1, 0])
+    def test_plan_is_reached_again(self, checks_fence: int) -> None:
+        """A stray order of an older plan does not last."""
+        with World(('e1',), engine={'checks_fence': checks_fence}) as world:
+            plan = {'versions': ['small@1', 'large@1']}
+            world.apply('e1', 'placement/m1', plan)
+            world.apply('e1', 'placement/m1', {'versions': ['large@1']})
+            engine = world.engines['m1']
+
+            def loaded() -> list[str]:
+                return sorted(call(engine, 'GET', '/load').json()['versions'])
+
+            wait_until(lambda: loaded() == ['large@1'], 15, 'the plan')
+            order = {'action': 'load', 'version': 'small@1', 'fence': 1}
+            answer = call(engine, 'POST', '/orders', order)
+            assert (answer.status == 409) == bool(checks_fence)
+            if not checks_fence:
+                wait_until(lambda: 'small@1' in loaded(), 10, 'stray order')
+            wait_until(lambda: loaded() == ['large@1'], 15, 'the plan again')
+
+    def test_weight_loads_are_spaced(self) -> None:
+        """The store's limit of one download a second holds for a zone."""
+        with World(('e1',)) as world:
+            for name in ('m1', 'm2'):
+                world.apply('e1', f'placement/{name}', {'versions': []})
+            wait_until(lambda: not read_loaded(world), 20, 'empty engines')
+            for name in ('m1', 'm2'):
+                body = {'versions': ['small@1']}
+                world.apply('e1', f'placement/{name}', body)
+            wait_until(lambda: count_loads(world) >= 2, 20, 'both loads')
+            rows = world.journal(world.platform)
+            times = [row['at'] for row in rows if 'weights' in row]
+            gaps = [b - a for a, b in zip(times, times[1:], strict=False)]
+            assert all(gap >= 0.99 for gap in gaps)
+            time.sleep(1)
+
+
+def read_loaded(world: Fleet) -> list[str]:
+    """Return the versions that the engines have loaded."""
+    return [
+        version
+        for address in world.engines.values()
+        for version in call(address, 'GET', '/load').json()['versions']
+    ]
+
+
+def count_loads(world: Fleet) -> int:
+    """Return how many load orders the engines executed."""
+    return sum(
+        row.get('action') == 'load'
+        for address in world.engines.values()
+        for row in world.journal(address)
+    )
