--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -156,7 +156,7 @@
 def change(world: BenchWorld, number: int) -> float:
     """Return the seconds until a change was confirmed by all daemons."""
     began = time.monotonic()
-    answer = world.put('e1', 'zone/spare', {'out': bool(number % 2)})
+    answer = world.put('e1', 'instance/spare', {'out': bool(number % 2)})
     if not answer.json().get('in_force'):
         raise RuntimeError(f'not in force: {answer.body!r}')
     return time.monotonic() - began
--- a/src/toucancourse/command/arguments.py
+++ b/src/toucancourse/command/arguments.py
@@ -31,6 +31,7 @@
     for place in ('zone', 'instance'):
         _add_place(commands, place)
     _add_others(commands)
+    _add_objects(commands)
     return parser
 
 
@@ -154,6 +155,13 @@
     )
     bill.add_argument('customer')
     bill.add_argument('--period', default='', metavar='DAY[..DAY]')
+    report = _group(commands, 'report', 'reports')
+    burn = _add(report, 'burn', readings.show_burn, 'service-level burn')
+    burn.add_argument('--html', help='also write a page to this file')
+    _add(report, 'alerts', readings.show_alerts, 'Prometheus alert rules')
+
+
+def _add_objects(commands: Any) -> None:
     keys = _group(commands, 'key', 'keys that sign conversation ids')
     _add(keys, 'list', readings.list_keys, 'list all')
     _change(keys, 'rotate', actions.rotate_key, 'sign with a new key')
@@ -178,7 +186,3 @@
     operator.add_argument(
         '--role', choices=('read', 'operate', 'administer'), required=True
     )
-    report = _group(commands, 'report', 'reports')
-    burn = _add(report, 'burn', readings.show_burn, 'service-level burn')
-    burn.add_argument('--html', help='also write a page to this file')
-    _add(report, 'alerts', readings.show_alerts, 'Prometheus alert rules')
