--- a/src/toucancourse/delivery/links.py
+++ b/src/toucancourse/delivery/links.py
@@ -189,7 +189,6 @@
         with grpc.insecure_channel(self.instance.address, options) as channel:
             stub = peer_pb2_grpc.PeerStub(channel)
             gossip = self._make_gossip()
-            gossip.period = self._find_period()
             gossip.zone = self.instance.zone
             call = stub.Connect(self._messages(outbox, gossip))
             self._call = call
@@ -275,6 +274,8 @@
         batch: list[Item],
         gossip: Gossip,
     ) -> peer_pb2.EntryMessage:
+        # The number of peers, and so the pace, changes while a stream lives.
+        gossip.period = self._find_period()
         message = peer_pb2.EntryMessage(records=gossip.take_records())
         for item in batch:
             if isinstance(item, peer_pb2.Open):
--- a/src/toucancourse/membership/gossip.py
+++ b/src/toucancourse/membership/gossip.py
@@ -91,7 +91,7 @@
         self.offset = status.offset
         self.leaving = status.leaving
         if status.period_ms:
-            self.period = max(self.period, status.period_ms / MS)
+            self.period = max(self._heartbeat, status.period_ms / MS)
         if not status.echo_ms:
             return
         base = status.echo_ms / MS
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -2,7 +2,6 @@
 
 import random
 import resource
-import select
 import socket
 import threading
 import time
@@ -98,10 +97,9 @@
     ) -> None:
         try:
             while True:
-                select.select([source], [], [])
+                data = source.recv(READ_BYTES)
                 while self.mode == 'freeze':
                     time.sleep(SLICE_SECONDS)
-                data = source.recv(READ_BYTES)
                 if not data:
                     break
                 if self.mode == 'delay':
