Close three ways to a stale request and a lost bill

PeerServicer cleaned up after a stream behind a yield; gRPC drops the generator of a dead peer at the yield, so its copies of bills were never handed over.

Change: own zone counts only if a peer in it was heard; a peer's newer proof or offset ends the outage rule; the sidecar checks between all of a request and its last byte and gives up a model's request sent over a second after its check; cleanup runs as the call's callback. Stand-ins drop a body that breaks off.

--- a/src/toucancourse/daemon/core.py
+++ b/src/toucancourse/daemon/core.py
@@ -53,8 +53,10 @@
                 settings.text('platform', 'instances_url'), timeout
             ),
             self.freshness,
+            self.instance,
             LIST_SECONDS,
         )
+        self.configuration.listen(self._note_offset)
         self.reader = LogReader(
             self.log,
             self.configuration,
@@ -103,6 +105,9 @@
         self.reader.stop()
         self._workers.shutdown(wait=False, cancel_futures=True)
 
+    def _note_offset(self) -> None:
+        self.freshness.note_offset(self.configuration.offset)
+
     def make_gossip(self) -> Gossip:
         """Return the status exchange for one peer."""
         return Gossip(self.configuration, self.freshness, self.heartbeat)
--- a/src/toucancourse/delivery/dispatch.py
+++ b/src/toucancourse/delivery/dispatch.py
@@ -15,6 +15,7 @@
     DeadlineError,
     EndpointError,
     ForbiddenError,
+    UnavailableError,
     UnknownOutcomeError,
 )
 from ..protocol import peer_pb2
@@ -28,6 +29,8 @@
 EVENT_STREAM: Final = 'text/event-stream'
 #: Times a broken stream is resumed.
 MAX_RESUMES: Final = 3
+#: Longest time from the last check to the last byte of a model's request.
+MAX_PAUSE_SECONDS: Final = 1.0
 
 
 class Limits(NamedTuple):
@@ -101,13 +104,10 @@
         remaining = running.deadline - time.monotonic()
         if remaining <= 0 or running.cancelled:
             raise DeadlineError('the deadline passed in the queue')
-        # The wait for a place may have been long.
-        self._gate.check(request)
         timeout = min(remaining, self._limits.endpoint_seconds)
         call = EndpointCall(self._limits.url, timeout)
         running.call = call
         try:
-            self._open(running, call)
             if request.version:
                 self._relay_model(running, call)
             else:
@@ -120,21 +120,50 @@
         finally:
             call.close()
 
-    def _open(self, running: Running, call: EndpointCall) -> None:
+    def _send(
+        self,
+        running: Running,
+        call: EndpointCall,
+        body: bytes,
+        headers: dict[str, str],
+    ) -> Reply:
+        """Return the head of the answer; check just before the last byte.
+
+        The wait for a place or for the connection may have been long, and a
+        process may be paused at any line.
+        """
+        request = running.request
         try:
             call.connect()
-        except CourseError:
+            call.begin(request.method, request.path, body, headers)
+        except UnavailableError:
             self._window.note_failure()
             raise
+        checked = self._check_again(request)
         if running.cancelled:
             raise DeadlineError('cancelled before dispatch')
         running.dispatched = True
+        call.finish()
+        paused = time.monotonic() - checked
+        if request.idempotent and paused > MAX_PAUSE_SECONDS:
+            raise UnknownOutcomeError(
+                f'the process was paused for {paused:.1f} s while sending'
+            )
+        return call.receive()
+
+    def _check_again(self, request: peer_pb2.Open) -> float:
+        """Return the start of a check that passed, and passed quickly."""
+        while True:
+            began = time.monotonic()
+            self._gate.check(request)
+            if time.monotonic() - began < MAX_PAUSE_SECONDS:
+                return began
 
     def _relay_service(self, running: Running, call: EndpointCall) -> None:
         request = running.request
         began = time.monotonic()
         headers = {'Content-Type': request.content_type}
-        reply = call.send(request.method, request.path, request.body, headers)
+        reply = self._send(running, call, request.body, headers)
         body = b''.join(call.chunks())
         self._window.note_first_token(time.monotonic() - began)
         running.send_head(reply)
@@ -150,7 +179,7 @@
             'X-Request-Id': request.request,
         }
         began = time.monotonic()
-        reply = call.send('POST', request.path, body, headers)
+        reply = self._send(running, call, body, headers)
         if reply.status in {HTTP_OVERLOADED, HTTP_TOO_MANY}:
             self._window.note_failure()
         if request.stream and reply.content_type.startswith(EVENT_STREAM):
@@ -210,14 +239,16 @@
         events: int,
     ) -> EndpointCall:
         """Return a new call that goes on after the events received."""
+        path = f'/v1/streams/{reply.stream_id}?from={events}'
         call = EndpointCall(self._limits.url, self._limits.endpoint_seconds)
         running.call = call
         try:
             call.connect()
+            call.begin('GET', path, b'', {})
         except CourseError as error:
             raise EndpointError(f'stream not resumed: {error.text}') from error
-        path = f'/v1/streams/{reply.stream_id}?from={events}'
-        resumed = call.send('GET', path, b'', {})
+        call.finish()
+        resumed = call.receive()
         if resumed.status // 100 != 2:
             raise EndpointError(f'stream not resumed: {resumed.status}')
         return call
--- a/src/toucancourse/delivery/endpoint.py
+++ b/src/toucancourse/delivery/endpoint.py
@@ -14,6 +14,8 @@
 EVENT_END: Final = b'\n\n'
 DONE_EVENT: Final = b'data: [DONE]'
 USAGE_MARK: Final = b'"usage"'
+#: Methods whose requests state their length even without a body.
+METHODS_WITH_BODY: Final = frozenset(('PATCH', 'POST', 'PUT'))
 
 
 class Reply(NamedTuple):
@@ -34,6 +36,8 @@
             parts.hostname or '', parts.port, timeout=timeout
         )
         self._response: HTTPResponse | None = None
+        #: Last byte of the body, or b'' if the headers are to be ended.
+        self._rest = b''
 
     def connect(self) -> None:
         """Open the connection; no byte of the request is sent.
@@ -49,24 +53,55 @@
         sock = self._connection.sock
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
-    def send(
+    def begin(
         self,
         method: str,
         path: str,
         body: bytes,
         headers: dict[str, str],
-    ) -> Reply:
-        """Send the request and return the head of the answer.
+    ) -> None:
+        """Send all of the request but its last part.
 
-        Raises UnknownOutcomeError if no head came.
+        An endpoint runs no request that it has in part only. Raises
+        UnavailableError.
         """
+        connection = self._connection
         try:
-            self._connection.request(method, path, body or None, headers)
-            self._response = self._connection.getresponse()
+            connection.putrequest(method, path)
+            for name, value in headers.items():
+                connection.putheader(name, value)
+            if body or method in METHODS_WITH_BODY:
+                connection.putheader('Content-Length', str(len(body)))
+            if body:
+                connection.endheaders(body[:-1] or None)
         except (OSError, HTTPException) as error:
-            raise UnknownOutcomeError(
-                f"the endpoint's answer was lost: {error}"
+            raise UnavailableError(
+                f'the request was not sent to the endpoint: {error}'
             ) from error
+        self._rest = body[-1:]
+
+    def finish(self) -> None:
+        """Send the last part of the request: from here on it may run.
+
+        Raises UnknownOutcomeError.
+        """
+        try:
+            if self._rest:
+                self._connection.send(self._rest)
+            else:
+                self._connection.endheaders()
+        except (OSError, HTTPException) as error:
+            raise _make_loss(error) from error
+
+    def receive(self) -> Reply:
+        """Return the head of the answer.
+
+        Raises UnknownOutcomeError if none came.
+        """
+        try:
+            self._response = self._connection.getresponse()
+        except (OSError, HTTPException) as error:
+            raise _make_loss(error) from error
         head = self._response
         return Reply(
             head.status,
@@ -164,6 +199,10 @@
     )
 
 
+def _make_loss(error: Exception) -> UnknownOutcomeError:
+    return UnknownOutcomeError(f"the endpoint's answer was lost: {error}")
+
+
 def _count(usage: dict[str, Any], key: str) -> int:
     number = usage.get(key)
     return number if isinstance(number, int) and number >= 0 else 0
--- a/src/toucancourse/delivery/peers.py
+++ b/src/toucancourse/delivery/peers.py
@@ -55,6 +55,7 @@
         self._heartbeat = heartbeat_seconds
         self._linger = linger_seconds
         self._attempts = Attempts()
+        self._lock = threading.Lock()
         self._streams: dict[str, Outbox[Item]] = {}
         #: Incarnation -> instance and offset of each connected entry.
         self._entries: dict[str, tuple[str, int]] = {}
@@ -76,8 +77,14 @@
         gossip = self._make_gossip()
         gossip.zone = first.hello.zone
         outbox: Outbox[Item] = Outbox(self._linger)
-        self._streams[incarnation] = outbox
-        context.add_callback(outbox.close)
+        with self._lock:
+            self._streams[incarnation] = outbox
+            self._gone.pop(incarnation, None)
+        # gRPC may drop this generator at any yield, so nothing after one is
+        # sure to run.
+        if not context.add_callback(lambda: self._part(incarnation, outbox)):
+            self._part(incarnation, outbox)
+            return
         reader = threading.Thread(
             target=self._read,
             args=(request_iterator, incarnation, gossip, outbox),
@@ -90,10 +97,6 @@
         told: dict[str, tuple[str, int]] = {}
         for batch in outbox.batches(gossip.find_period):
             yield self._compose(batch, gossip, told)
-        if self._streams.get(incarnation) is outbox:
-            del self._streams[incarnation]
-            self._entries.pop(incarnation, None)
-            self._gone[incarnation] = time.monotonic()
 
     def wake(self) -> None:
         """Send every entry a message now."""
@@ -109,21 +112,31 @@
     def tend_gone(self) -> None:
         """Cancel the work of entries that are gone; hand over their bills."""
         now = time.monotonic()
-        for incarnation, moment in list(self._gone.items()):
-            if incarnation in self._streams:
+        with self._lock:
+            streams = sorted(self._streams.items())
+            lost = [
+                incarnation
+                for incarnation, moment in self._gone.items()
+                if now - moment > REATTACH_SECONDS
+            ]
+            for incarnation in lost:
                 del self._gone[incarnation]
-            elif now - moment > REATTACH_SECONDS:
-                self._attempts.cancel_all(incarnation)
-        streams = sorted(self._streams.items())
-        waiting = {
-            name
-            for name, moment in self._gone.items()
-            if now - moment <= REATTACH_SECONDS
-        }
+            waiting = set(self._gone) | set(self._streams)
+        for incarnation in lost:
+            self._attempts.cancel_all(incarnation)
         if streams:
-            for copy in self.bills.orphans(waiting | set(self._streams)):
+            for copy in self.bills.orphans(waiting):
                 streams[0][1].put(copy)
 
+    def _part(self, incarnation: str, outbox: Outbox[Item]) -> None:
+        """Note that a stream ended, unless a newer one took its place."""
+        outbox.close()
+        with self._lock:
+            if self._streams.get(incarnation) is outbox:
+                del self._streams[incarnation]
+                self._entries.pop(incarnation, None)
+                self._gone[incarnation] = time.monotonic()
+
     def _greet(self) -> peer_pb2.SidecarMessage:
         load = self._make_load()
         hello = peer_pb2.Hello(
--- a/src/toucancourse/membership/directory.py
+++ b/src/toucancourse/membership/directory.py
@@ -28,9 +28,11 @@
         self,
         source: InstanceList,
         freshness: Freshness,
+        name: str,
         period_seconds: float,
     ) -> None:
-        """Start empty; run() fills it."""
+        """Start empty; run() fills it. The name is this instance's own."""
+        self._name = name
         self._source = source
         self._freshness = freshness
         self._period = period_seconds
@@ -83,7 +85,9 @@
         except (CourseError, KeyError, TypeError) as error:
             logger.warning('instance list not read: {}', error)
             return
-        self._freshness.expect_zones({row.zone for row in self._instances})
+        self._freshness.expect_zones(
+            {row.zone for row in self._instances if row.name != self._name}
+        )
         if self._instances != before:
             for listener in self._listeners:
                 listener()
--- a/src/toucancourse/membership/freshness.py
+++ b/src/toucancourse/membership/freshness.py
@@ -20,6 +20,9 @@
         self._heard: dict[str, float] = {}
         self._log_contact: dict[str, float] = {}
         self._zones: frozenset[str] = frozenset()
+        #: Highest offsets that a peer, and this process, reached.
+        self._peer_offset = 0
+        self._offset = 0
 
     @property
     def proof(self) -> float:
@@ -27,7 +30,7 @@
         return self._proof
 
     def expect_zones(self, zones: Iterable[str]) -> None:
-        """Set the zones that have listed instances."""
+        """Set the zones in which other instances are listed."""
         self._zones = frozenset(zones)
 
     def note_log(self, moment: float) -> None:
@@ -41,6 +44,16 @@
         with self._lock:
             self._proof = max(self._proof, moment)
 
+    def note_offset(self, offset: int) -> None:
+        """Take the offset that this process reached."""
+        with self._lock:
+            self._offset = max(self._offset, offset)
+
+    def note_peer_offset(self, offset: int) -> None:
+        """Take the offset that a peer reached."""
+        with self._lock:
+            self._peer_offset = max(self._peer_offset, offset)
+
     def note_zone(self, zone: str, heard: float, log_contact: float) -> None:
         """Take a report that a zone was heard from and its log contact."""
         with self._lock:
@@ -65,8 +78,10 @@
         """Return True if no accepted change can be missing here for long.
 
         That is so with a recent proof. Without one it is so if every zone
-        was heard from lately and none has reached the log since our proof,
-        which is how an outage of the log differs from being cut off.
+        was heard from lately, no peer is ahead, and none has reached the log
+        since our proof, which is how an outage of the log differs from being
+        cut off. A process that was paused has heard of no zone lately, its
+        own included.
         """
         now = time.monotonic()
         if now - self._proof <= self._stale:
@@ -74,12 +89,13 @@
         if self._proof == float('-inf'):
             return False
         with self._lock:
+            if self._peer_offset > self._offset:
+                return False
             latest = max(self._log_contact.values(), default=float('-inf'))
             if latest > self._proof:
                 return False
-            heard = {**self._heard, self._zone: now}
             return all(
-                now - heard.get(zone, float('-inf')) <= self._stale
+                now - self._heard.get(zone, float('-inf')) <= self._stale
                 for zone in self._zones
             )
 
--- a/src/toucancourse/membership/gossip.py
+++ b/src/toucancourse/membership/gossip.py
@@ -90,14 +90,16 @@
         self._echo_ms = status.sent_ms
         self.offset = status.offset
         self.leaving = status.leaving
+        self._freshness.note_peer_offset(status.offset)
         if status.period_ms:
             self.period = max(self._heartbeat, status.period_ms / MS)
         if not status.echo_ms:
             return
         base = status.echo_ms / MS
+        proof = base - status.proof_age_ms / MS
         if self._configuration.offset >= status.offset:
-            self._freshness.note_peer(base - status.proof_age_ms / MS)
-        self._freshness.note_zone(self.zone, base, float('-inf'))
+            self._freshness.note_peer(proof)
+        self._freshness.note_zone(self.zone, base, proof)
         for row in status.zones:
             self._freshness.note_zone(
                 row.zone,
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -23,6 +23,8 @@
         self.query = dict(parse_qsl(parts.query))
         length = int(handler.headers.get('Content-Length') or 0)
         self.raw = handler.rfile.read(length)
+        if len(self.raw) < length:
+            raise ConnectionError('the body broke off')
 
     def json(self) -> Any:
         """Return the decoded body."""
--- /dev/null
+++ b/tests/test_peers.py
@@ -0,0 +1,137 @@
+"""The sidecar's end of the peer streams, without a network."""
+
+import queue
+import time
+from collections.abc import Callable, Iterator
+from typing import Any
+
+import pytest
+from freezegun import freeze_time
+
+from standins.fleet import wait_until
+from toucancourse.contract.state import State
+from toucancourse.delivery.peers import (
+    REATTACH_SECONDS,
+    Identity,
+    PeerServicer,
+)
+from toucancourse.delivery.running import Running
+from toucancourse.membership.configuration import Configuration
+from toucancourse.membership.freshness import Freshness
+from toucancourse.membership.gossip import Gossip
+from toucancourse.protocol import peer_pb2
+
+
+class FakeContext:
+    """Runs the callbacks of a call when the test ends the call."""
+
+    def __init__(self) -> None:
+        """Start a call."""
+        self._callbacks: list[Callable[[], None]] = []
+
+    def add_callback(self, callback: Callable[[], None]) -> bool:
+        """Keep a callback."""
+        self._callbacks.append(callback)
+        return True
+
+    def end(self) -> None:
+        """End the call, as the transport does when a peer is gone."""
+        for callback in self._callbacks:
+            callback()
+
+
+class FakeDispatcher:
+    """Answers every request at once."""
+
+    def run(self, running: Running) -> None:
+        """Give the whole answer."""
+        running.usage = peer_pb2.Usage(prompt_tokens=1, completion_tokens=2)
+        running.send_end()
+
+
+class Peer:
+    """An entry that is connected to the servicer."""
+
+    def __init__(self, servicer: PeerServicer, incarnation: str) -> None:
+        """Connect and read the sidecar's Hello."""
+        self.context = FakeContext()
+        self._sent: queue.Queue[peer_pb2.EntryMessage] = queue.Queue()
+        hello = peer_pb2.Hello(version=1, instance='e', incarnation=incarnation)
+        self.send(hello=hello)
+        context: Any = self.context
+        self.messages = servicer.Connect(iter(self._sent.get, None), context)
+        next(self.messages)
+
+    def send(self, **fields: Any) -> None:
+        """Send one message."""
+        self._sent.put(peer_pb2.EntryMessage(**fields))
+
+
+@pytest.fixture
+def servicer() -> Iterator[PeerServicer]:
+    """Return the servicer of a sidecar with an empty configuration."""
+    configuration = Configuration()
+    configuration.adopt(State())
+    freshness = Freshness('east', 4)
+    dispatcher: Any = FakeDispatcher()
+    built = PeerServicer(
+        Identity('m1', 'east', 'sidecar', 'model', 4),
+        dispatcher,
+        lambda: Gossip(configuration, freshness, 0.05),
+        peer_pb2.Load,
+        0.05,
+        0,
+    )
+    yield built
+    built.close()
+
+
+class TestEntryGone:
+    """An entry that dies leaves its bills to another."""
+
+    def test_generator_is_dropped(self, servicer: PeerServicer) -> None:
+        """Bills change hands though the stream's generator never resumes."""
+        dead = Peer(servicer, 'dead')
+        live = Peer(servicer, 'live')
+        dead.send(
+            opens=[
+                peer_pb2.Open(
+                    request='dead:1', attempt=1, idempotent=True, version='v@1'
+                )
+            ]
+        )
+        wait_until(lambda: len(servicer.bills), 5, 'the answer')
+        dead.context.end()
+        assert not self._take_bills(servicer, live)
+        with freeze_time() as clock:
+            clock.tick(REATTACH_SECONDS + 1)
+            servicer.tend_gone()
+        [copy] = self._read_bills(live)
+        assert copy.request == 'dead:1'
+
+    def test_newer_stream_stays(self, servicer: PeerServicer) -> None:
+        """The end of an entry's old stream does not end its new one."""
+        old = Peer(servicer, 'entry')
+        Peer(servicer, 'entry')
+        other = Peer(servicer, 'other')
+        old.send(opens=[peer_pb2.Open(request='entry:1', attempt=1)])
+        wait_until(lambda: len(servicer.bills), 5, 'the answer')
+        old.context.end()
+        with freeze_time() as clock:
+            clock.tick(REATTACH_SECONDS + 1)
+            servicer.tend_gone()
+        assert not self._read_bills(other)
+
+    def _take_bills(
+        self, servicer: PeerServicer, peer: Peer
+    ) -> list[peer_pb2.BillCopy]:
+        servicer.tend_gone()
+        return self._read_bills(peer)
+
+    def _read_bills(self, peer: Peer) -> list[peer_pb2.BillCopy]:
+        """Return the bills of all messages within a while."""
+        found: list[peer_pb2.BillCopy] = []
+        limit = time.monotonic() + 0.3
+        while time.monotonic() < limit:
+            found.extend(next(peer.messages).bills)
+        return found
