Split the chat handler; hedge slow first tokens

Cause: chat.py had 649 lines and three concerns; three fleets each had their own copy of publishing a configuration.

Change: chat.py keeps the choice; exchange.py, tries.py, races.py, answers.py and outcomes.py hold request, tries, attempts of one try, relay and counts. Fleet.apply_all(), status() and wait_linked() replace the copies. A contract may set hedge_seconds: a streamed request without a first token by then is asked of a second endpoint too, out of the retry budget; the first to begin is billed, the other cancelled. The engine stand-in knows quality by kind.

--- a/src/toucancourse/contract/files.py
+++ b/src/toucancourse/contract/files.py
@@ -32,7 +32,7 @@
     return [part.strip() for part in text.split(',') if part.strip()]
 
 
-#: Key -> how its text is read. Burn objectives are optional.
+#: Key -> how its text is read. Objectives and hedging are optional.
 PARSERS: Final[Mapping[str, Callable[[str], Any]]] = {
     'versions': _parse_names,
     'services': _parse_names,
@@ -46,6 +46,7 @@
     'availability_objective': float,
     'first_token_objective': float,
     'first_token_seconds': float,
+    'hedge_seconds': float,
     'quality_objective': float,
 }
 
--- a/src/toucancourse/contract/objects.py
+++ b/src/toucancourse/contract/objects.py
@@ -39,6 +39,8 @@
     #: Share of requests whose first token must come in time.
     first_token_objective: NotRequired[float]
     first_token_seconds: NotRequired[float]
+    #: Seconds without a first token after which another endpoint is asked.
+    hedge_seconds: NotRequired[float]
     #: Share of rated answers that must reach the contract's quality.
     quality_objective: NotRequired[float]
 
@@ -217,6 +219,7 @@
         'first_token_objective': _number(0, 0.999999)._replace(optional=True),
         'quality_objective': _number(0, 0.999999)._replace(optional=True),
         'first_token_seconds': _number(0.001, 3600)._replace(optional=True),
+        'hedge_seconds': _number(0.01, 3600)._replace(optional=True),
     },
     'rollout': {
         'source': Rule('"model@version"', re.compile(_VERSION_NAME).fullmatch),
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -19,9 +19,9 @@
 from ..billing.spend import SpendBook
 from ..contract.records import Change
 from ..delivery.callers import authenticate
-from ..delivery.chat import PATH as CHAT_PATH
 from ..delivery.chat import ChatHandler
 from ..delivery.entry import Decisions, EntryParts
+from ..delivery.exchange import PATH as CHAT_PATH
 from ..delivery.keyed import Claims
 from ..delivery.links import PROTOCOL_VERSION, Link
 from ..delivery.pins import Pins
--- a/src/toucancourse/report/metrics.py
+++ b/src/toucancourse/report/metrics.py
@@ -17,6 +17,10 @@
             ('customer', 'version', 'code'),
         )
         self.retries = Counter('toucancourse_retries', 'Tries after the first')
+        self.hedges = Counter(
+            'toucancourse_hedges',
+            'Second endpoints asked because the first was slow',
+        )
         self.cost = Counter(
             'toucancourse_cost_micro_units',
             'Billed cost',
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -63,6 +63,8 @@
         self._break_after = 0
         self._token_delay = 0.0
         self._error_status = 0
+        #: Requests answered with the status of a fault.
+        self.refused = 0
         self.max_running = 0
         self.max_cold = 0
 
@@ -106,13 +108,17 @@
         body = call.json()
         version = body.get('model')
         if self._error_status:
+            self.refused += 1
             call.reply({'error': {'message': 'fault'}}, self._error_status)
             return
         if version not in self._versions:
             call.reply({'error': {'message': f'no version {version}'}}, 404)
             return
+        kind = str((body.get('metadata') or {}).get('kind', ''))
         row = self._journal.add(
             version=version,
+            kind=kind,
+            quality=self._find_quality(version, kind),
             request=call.handler.headers.get('X-Request-Id', ''),
             state='running',
             cold=self.is_cold(),
@@ -331,8 +337,7 @@
     def _make_event(self, stream: Stream) -> bytes:
         text = f'w{stream.tokens} '
         if stream.tokens == 1:
-            quality = self._find_quality(stream)
-            text = f'[quality {quality}] {text}'
+            text = f'[quality {stream.row["quality"]}] {text}'
         chunk = {
             'id': stream.identifier,
             'object': 'chat.completion.chunk',
@@ -348,8 +353,12 @@
         }
         return b'data: %b\n\n' % json.dumps(chunk).encode()
 
-    def _find_quality(self, stream: Stream) -> float:
-        return float(self._quality.get(stream.body['model'], 0.8))
+    def _find_quality(self, version: str, kind: str) -> float:
+        """Return the quality set for "version/kind", or for the version."""
+        found = self._quality.get(
+            f'{version}/{kind}', self._quality.get(version, 0.8)
+        )
+        return float(found)
 
     def _make_tail(self, stream: Stream) -> list[bytes]:
         chunk: dict[str, Any] = {
@@ -394,6 +403,7 @@
             'rows': self._journal.rows(),
             'max_running': self.max_running,
             'max_cold': self.max_cold,
+            'refused': self.refused,
         }
 
     def _order(self, call: Call) -> None:
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -241,8 +241,18 @@
         **options: Any,
     ) -> str:
         """Start a stand-in and return its address."""
+        return self.run_program(name, f'standins.{module}', probe, **options)
+
+    def run_program(
+        self,
+        name: str,
+        module: str,
+        probe: str,
+        **options: Any,
+    ) -> str:
+        """Start a module that takes --port and return its address."""
         port = find_port()
-        command = [sys.executable, '-m', f'standins.{module}']
+        command = [sys.executable, '-m', module]
         command += ['--port', str(port)]
         for key, value in options.items():
             command += ['--' + key.replace('_', '-'), str(value)]
@@ -400,6 +410,52 @@
         }
         return self.admin(entry, 'PUT', f'/objects/{name}', change)
 
+    def apply(self, entry: str, name: str, body: object, **extra: Any) -> int:
+        """Change an object and return its revision.
+
+        Raises RuntimeError if the change was refused or is not in force.
+        """
+        answer = self.put(entry, name, body, **extra)
+        told = answer.json()
+        if answer.status != 200 or not told['in_force']:
+            raise RuntimeError(f'{name}: {answer.body!r}')
+        return int(told['revision'])
+
+    def apply_all(self, entry: str, objects: dict[str, Any]) -> None:
+        """Change objects once the entry's administration API is up."""
+        wait_until(
+            lambda: self.admin_is_up(entry), START_SECONDS, f'start of {entry}'
+        )
+        for name, body in objects.items():
+            self.apply(entry, name, body)
+
+    def admin_is_up(self, entry: str) -> bool:
+        """Return True once an entry has a configuration."""
+        try:
+            return bool(self.status(entry)['current'])
+        except (OSError, HTTPException):
+            return False
+
+    def status(self, entry: str) -> Any:
+        """Return an entry's status."""
+        return self.admin(entry, 'GET', '/status').json()
+
+    def all_linked(self) -> bool:
+        """Return True if every entry is connected to every sidecar."""
+        entries = [
+            name for name, row in self.daemons.items() if row.role == 'entry'
+        ]
+        return all(
+            row['connected'] or row['role'] == 'entry'
+            for entry in entries
+            for row in self.status(entry)['instances']
+        )
+
+    def wait_linked(self) -> None:
+        """Wait until all daemons are ready and all entries linked."""
+        self.wait_ready()
+        wait_until(self.all_linked, START_SECONDS, 'links of all entries')
+
     def fault(self, **fault: Any) -> None:
         """Set a fault of the platform."""
         call(self.platform, 'POST', '/fault', fault)
--- a/standins/users.py
+++ b/standins/users.py
@@ -4,7 +4,7 @@
 from pathlib import Path
 from typing import Any
 
-from .fleet import Answer, Fleet, call, hash_token, wait_until
+from .fleet import Answer, Fleet, call, hash_token
 
 WORKLOAD = Path(__file__).parent / 'workload'
 KEYS = {'chikugo': 'chikugo-key', 'garmi': 'garmi-key'}
@@ -142,31 +142,15 @@
                 self.add_service(f'{service}-{copy}', zone, service)
         for number in (1, 2):
             self.add_entry(f'entry-{number}', ZONES[number - 1])
-        wait_until(self._has_admin, 30, 'start of the first entry')
-        for zone in ZONES:
-            self._publish(f'zone/{zone}', {'out': False})
-        for name, body in VERSIONS.items():
-            self._publish(f'version/{name}', body)
-        for name, body in SERVICES.items():
-            self._publish(f'service/{name}', body)
-        for name, body in CONTRACTS.items():
-            self._publish(f'contract/{name}', body)
-        self.wait_ready()
-        for name in ('entry-1', 'entry-2'):
-            wait_until(lambda: self._is_linked(name), 30, f'links of {name}')  # noqa: B023
-
-    def _publish(self, name: str, body: object) -> None:
-        answer = self.put('entry-1', name, body)
-        if answer.status != 200 or not answer.json()['in_force']:
-            raise RuntimeError(f'{name}: {answer.body!r}')
-
-    def _has_admin(self) -> bool:
-        try:
-            status = self.admin('entry-1', 'GET', '/status').json()
-        except OSError:
-            return False
-        return bool(status['current'])
-
-    def _is_linked(self, entry: str) -> bool:
-        rows = self.admin(entry, 'GET', '/status').json()['instances']
-        return all(row['connected'] for row in rows if row['role'] == 'sidecar')
+        objects: dict[str, Any] = {
+            f'zone/{zone}': {'out': False} for zone in ZONES
+        }
+        for kind, bodies in (
+            ('version', VERSIONS),
+            ('service', SERVICES),
+            ('contract', CONTRACTS),
+        ):
+            for name, body in bodies.items():
+                objects[f'{kind}/{name}'] = body
+        self.apply_all('entry-1', objects)
+        self.wait_linked()
--- a/tests/world.py
+++ b/tests/world.py
@@ -149,35 +149,17 @@
         self.add_service('b1', 'east', 'booking')
         for number, name in enumerate(entries):
             self.add_entry(name, ('east', 'west')[number % 2])
-        first = entries[0]
-        wait_until(
-            lambda: self.admin_is_up(first), 20, 'start of the first entry'
-        )
-        for zone in ('east', 'west'):
-            self.apply(first, f'zone/{zone}', {'out': False})
+        objects: dict[str, Any] = {
+            f'zone/{zone}': {'out': False} for zone in ('east', 'west')
+        }
         for name, body in VERSIONS.items():
-            self.apply(first, f'version/{name}', body)
+            objects[f'version/{name}'] = body
         for name, service in SERVICES.items():
-            self.apply(first, f'service/{name}', service)
+            objects[f'service/{name}'] = service
         for customer, key in (('chikugo', CHIKUGO_KEY), ('garmi', GARMI_KEY)):
-            self.apply(first, f'contract/{customer}', make_contract(key))
-        self.wait_ready()
-        wait_until(self.all_linked, 20, 'links of all entries')
-
-    def admin_is_up(self, entry: str) -> bool:
-        """Return True once an entry has a configuration."""
-        try:
-            status = self.admin(entry, 'GET', '/status').json()
-        except OSError:
-            return False
-        return bool(status['current'])
-
-    def apply(self, entry: str, name: str, body: object, **extra: Any) -> int:
-        """Change an object and return its revision; fail if refused."""
-        answer = self.put(entry, name, body, **extra)
-        assert answer.status == 200, answer.body
-        assert answer.json()['in_force'], answer.body
-        return int(answer.json()['revision'])
+            objects[f'contract/{customer}'] = make_contract(key)
+        self.apply_all(entries[0], objects)
+        self.wait_linked()
 
     def heal(self) -> None:
         """End all faults and wait until every daemon is back."""
@@ -187,19 +169,4 @@
             daemon.thaw()
             if not daemon.is_running():
                 daemon.start()
-        self.wait_ready()
-        wait_until(self.all_linked, 20, 'links of all entries')
-
-    def status(self, entry: str) -> Any:
-        """Return an entry's status."""
-        return self.admin(entry, 'GET', '/status').json()
-
-    def all_linked(self) -> bool:
-        entries = [
-            name for name, row in self.daemons.items() if row.role == 'entry'
-        ]
-        return all(
-            row['connected'] or row['role'] == 'entry'
-            for entry in entries
-            for row in self.status(entry)['instances']
-        )
+        self.wait_linked()
