Say "not run" only if it is true of every try; find bad versions sooner

A model request that one engine had and a second endpoint refused was refused as "not run"; so was one whose deadline passed at an engine. An attempt given up before it was sent could still be sent. 2. A bad version at 10% or 100% was hardly noticed in 20 s: twelve ratings a kind, a fixed share of answers, streamed ones sampled twice. 3. An endpoint that failed was tried before a sound one with a queue, and its share of failures never faded; an entry filled its own zone while others idled.

Change: tries note whether they may have run, and explain shows it; unsent attempts are withdrawn under a lock. A running roll-out's target is rated always until it has 60 ratings a kind, shared early; five ratings are enough for a large loss (Student's t at the same rate of false alarms, whose test is unchanged). Endpoints: room, soundness, then zone; failures fade. The window learns the usual pause between tokens; queues wait 2 s, not 5.

--- a/src/toucancourse/admission/window.py
+++ b/src/toucancourse/admission/window.py
@@ -8,6 +8,12 @@
 
 from ..errors import UnavailableError
 
+#: Usual pauses between tokens after which a stream counts as starved.
+STARVED_PAUSES: Final = 3.0
+#: Shortest pause that counts as starved, in seconds.
+MIN_PROOF_SECONDS: Final = 0.06
+#: Weight of the newest pause in the usual one.
+PAUSE_STEP: Final = 0.05
 #: Requests that any endpoint bears while cold.
 COLD_WINDOW: Final = 1
 
@@ -43,12 +49,14 @@
     ) -> None:
         """Keep the limits; the window starts cold.
 
-        proof_seconds is the longest pause of a stream that counts as warm.
+        proof_seconds is the longest pause of a stream that counts as warm;
+        less is allowed once the usual pause between tokens is known.
         """
         self._lock = threading.Lock()
         self._slots = slots
         self._first_token = first_token_seconds
         self._proof_seconds = proof_seconds
+        self._pause = proof_seconds / STARVED_PAUSES
         self._window = COLD_WINDOW
         self._running = 0
         self._queue: list[_Ticket] = []
@@ -108,8 +116,12 @@
 
     def note_token(self, stream: int) -> None:
         """Take a stream's token as proof that the endpoint is working."""
-        self._last_token = time.monotonic()
-        self._streams[stream] = self._last_token
+        now = time.monotonic()
+        before = self._streams.get(stream)
+        if before is not None:
+            self._pause += PAUSE_STEP * (now - before - self._pause)
+        self._last_token = now
+        self._streams[stream] = now
         if self._queue:
             with self._lock:
                 self._admit()
@@ -166,4 +178,8 @@
             return False
         # The slowest stream decides; with none, the last token of any did.
         slowest = min(list(self._streams.values()), default=self._last_token)
-        return time.monotonic() - slowest <= self._proof_seconds
+        return time.monotonic() - slowest <= self._find_proof_seconds()
+
+    def _find_proof_seconds(self) -> float:
+        learnt = max(MIN_PROOF_SECONDS, self._pause * STARVED_PAUSES)
+        return min(self._proof_seconds, learnt)
--- a/src/toucancourse/command/readings.py
+++ b/src/toucancourse/command/readings.py
@@ -157,10 +157,17 @@
     headers = ('version', 'price', 'quality at least', 'why')
     _print(format_table(headers, body['candidates']))
     steps = [
-        (step['version'], step['instance'], step['code'], step['seconds'])
+        (
+            step['version'],
+            step['instance'],
+            step['code'],
+            step['seconds'],
+            'yes' if step['may_have_run'] else 'no',
+        )
         for step in body['steps']
     ]
-    _print(format_table(('tried', 'endpoint', 'code', 'seconds'), steps))
+    columns = ('tried', 'endpoint', 'code', 'seconds', 'may have run')
+    _print(format_table(columns, steps))
     return 0
 
 
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -221,6 +221,7 @@
         core = self.core
         core.every(CHECK_SECONDS, self.pool.check)
         core.every(SWEEP_SECONDS, self._sweep)
+        core.every(CHECK_SECONDS, self._check_rollouts)
         core.every(IDLE_SECONDS, self._give_back)
         core.every(IDLE_SECONDS, self.pool.update)
         core.every(level_items.SHARE_SECONDS, self._levels.share)
@@ -365,9 +366,12 @@
         self._ensure_key()
         if self.core.is_writer():
             self._write_stream_snapshots()
-            self._watch.check()
         self._retire_gone()
 
+    def _check_rollouts(self) -> None:
+        if self.core.is_writer():
+            self._watch.check()
+
     def _write_stream_snapshots(self) -> None:
         for follower in self._followers:
             if follower.records_since_snapshot >= STREAM_SNAPSHOT_RECORDS:
--- a/src/toucancourse/delivery/answers.py
+++ b/src/toucancourse/delivery/answers.py
@@ -16,7 +16,6 @@
 from .entry import EntryParts, remaining_seconds
 from .exchange import DONE, Answer, CallerGoneError, Exchange, Served
 from .outcomes import Outcomes
-from .ratings import RatingSampler
 from .tries import CALLER_CHECK_SECONDS
 
 #: A failed write tells of a caller that left a stream before this does.
@@ -29,12 +28,10 @@
     def __init__(
         self,
         parts: EntryParts,
-        sampler: RatingSampler,
         outcomes: Outcomes,
     ) -> None:
         """Keep the parts."""
         self._parts = parts
-        self._sampler = sampler
         self._outcomes = outcomes
 
     def relay(
@@ -63,7 +60,8 @@
         head = served.attempt.head
         assert head is not None
         body = served.attempt.body()
-        self._outcomes.bill(exchange, served, hold, end, body)
+        rated = self._outcomes.is_rated(exchange, served)
+        self._outcomes.bill(exchange, served, hold, end, body if rated else b'')
         response = Response(
             head.status,
             body,
@@ -90,7 +88,7 @@
         )
         writer = make_writer(exchange.request.environ, write)
         sample: list[bytes] | None = None
-        if self._sampler.is_sampled():
+        if self._outcomes.is_rated(exchange, served):
             sample = []
             writer = _tee(writer, sample)
         served.attempt.write_to(writer)
--- a/src/toucancourse/delivery/attempts.py
+++ b/src/toucancourse/delivery/attempts.py
@@ -86,6 +86,12 @@
         """Return True once the last frame or an error came."""
         return self.end is not None or self._error is not None
 
+    def may_have_run(self) -> bool:
+        """Return False if the endpoint never had the whole request."""
+        if self._error is not None:
+            return self._error.outcome is not Outcome.not_run
+        return self.end is None or self.end.outcome != Outcome.not_run
+
     def wait_head(self, timeout: float) -> bool:
         """Return True once the head, the end or an error came."""
         with self._changed:
--- a/src/toucancourse/delivery/chat.py
+++ b/src/toucancourse/delivery/chat.py
@@ -38,7 +38,7 @@
         self._sampler = sampler
         self._outcomes = Outcomes(parts, sampler, metrics, levels)
         self._tries = Tries(parts, metrics, self._outcomes)
-        self._answers = Answers(parts, sampler, self._outcomes)
+        self._answers = Answers(parts, self._outcomes)
 
     def serve(
         self,
--- a/src/toucancourse/delivery/dispatch.py
+++ b/src/toucancourse/delivery/dispatch.py
@@ -23,7 +23,7 @@
 from .running import Running
 
 #: Longest wait for a place at the endpoint.
-QUEUE_SECONDS: Final = 5.0
+QUEUE_SECONDS: Final = 2.0
 HTTP_OVERLOADED: Final = 503
 HTTP_TOO_MANY: Final = 429
 EVENT_STREAM: Final = 'text/event-stream'
--- a/src/toucancourse/delivery/entry.py
+++ b/src/toucancourse/delivery/entry.py
@@ -31,6 +31,8 @@
     instance: str
     code: str
     seconds: float
+    #: False if the endpoint certainly never had the whole request.
+    may_have_run: bool
 
 
 class Decision(NamedTuple):
--- a/src/toucancourse/delivery/links.py
+++ b/src/toucancourse/delivery/links.py
@@ -112,10 +112,21 @@
         return attempt
 
     def cancel(self, attempt: Attempt) -> None:
-        """Stop an attempt whose answer is no longer wanted."""
+        """Stop an attempt whose answer is no longer wanted.
+
+        One that was not sent yet never will be.
+        """
         number = attempt.request.attempt
         if attempt.has_ended():
             return
+        with self._lock:
+            unsent = not attempt.sent
+            if unsent:
+                self._attempts.pop(number, None)
+        if unsent:
+            self._outbox.withdraw(attempt.request)
+            attempt.fail(self._make_refusal())
+            return
         self._outbox.put(peer_pb2.Cancel(attempt=number))
 
     def settle(self, requests: list[str]) -> None:
@@ -275,9 +286,7 @@
         message = peer_pb2.EntryMessage(records=gossip.take_records())
         for item in batch:
             if isinstance(item, peer_pb2.Open):
-                attempt = self._attempts.get(item.attempt)
-                if attempt is not None:
-                    attempt.sent = True
+                if self._mark_sent(item.attempt):
                     message.opens.append(item)
             elif isinstance(item, peer_pb2.Cancel):
                 message.cancels.append(item)
@@ -293,6 +302,15 @@
             )
         return message
 
+    def _mark_sent(self, number: int) -> bool:
+        """Return False if an attempt was given up before it was sent."""
+        with self._lock:
+            attempt = self._attempts.get(number)
+            if attempt is None:
+                return False
+            attempt.sent = True
+            return True
+
     def _receive(
         self,
         message: peer_pb2.SidecarMessage,
--- a/src/toucancourse/delivery/outcomes.py
+++ b/src/toucancourse/delivery/outcomes.py
@@ -51,7 +51,7 @@
         end: peer_pb2.End,
         text: bytes,
     ) -> None:
-        """Bill a whole answer and have a sample of its text rated."""
+        """Bill a whole answer; have its text rated unless it is empty."""
         copy = peer_pb2.BillCopy(
             request=exchange.request_id,
             customer=exchange.caller.customer,
@@ -67,12 +67,13 @@
         self._metrics.cost.labels(exchange.caller.customer, served.version).inc(
             line.cost
         )
-        if text and self._sampler.is_sampled():
+        if text:
             self._sampler.rate(
                 exchange.caller.customer,
                 exchange.demand.kind,
                 served.version,
                 text,
+                prompt=self._is_on_probation(exchange, served),
             )
 
     def count(self, exchange: Exchange, served: Served, code: str) -> None:
@@ -81,6 +82,15 @@
             exchange.caller.customer, served.version, code
         ).inc()
 
+    def is_rated(self, exchange: Exchange, served: Served) -> bool:
+        """Return True if an answer is to be rated.
+
+        That is a sample of all, and every answer of a roll-out's target
+        until it has some ratings.
+        """
+        always = self._is_on_probation(exchange, served)
+        return self._sampler.is_sampled(always=always)
+
     def note_version(self, version: str, *, good: bool) -> None:
         """Count a try of a roll-out's target, for the roll-out's watch."""
         model, _ = split_version(version)
@@ -88,6 +98,18 @@
         if rollout and rollout['target'] == version:
             self._sampler.note(version, OUTCOME_KIND, float(good))
 
+    def _is_on_probation(self, exchange: Exchange, served: Served) -> bool:
+        model, _ = split_version(served.version)
+        rollout = self._parts.configuration.state.rollout(model)
+        return bool(
+            rollout
+            and rollout['target'] == served.version
+            and rollout['state'] == 'running'
+            and self._sampler.is_on_probation(
+                served.version, exchange.demand.kind
+            )
+        )
+
     def note_first_token(self, exchange: Exchange) -> None:
         """Count the time to the first byte of an answer."""
         waited = time.monotonic() - exchange.began
--- a/src/toucancourse/delivery/races.py
+++ b/src/toucancourse/delivery/races.py
@@ -26,8 +26,13 @@
 
     def __init__(self, first: Served) -> None:
         """Start with one attempt."""
+        self._all = [first]
         self._running = [first]
 
+    def may_have_run(self) -> bool:
+        """Return False if no endpoint ever had the whole request."""
+        return any(served.attempt.may_have_run() for served in self._all)
+
     @property
     def running(self) -> tuple[Served, ...]:
         """Return the attempts that have not failed."""
@@ -35,6 +40,7 @@
 
     def add(self, served: Served) -> None:
         """Add an attempt."""
+        self._all.append(served)
         self._running.append(served)
 
     def wait(self, seconds: float) -> Served | None:
--- a/src/toucancourse/delivery/ratings.py
+++ b/src/toucancourse/delivery/ratings.py
@@ -18,6 +18,10 @@
 RATER_THREADS: Final = 2
 #: Answers that wait for the rater; more are not rated.
 MAX_WAITING: Final = 100
+#: Ratings of a roll-out's target that are wanted soon, for each kind of work.
+PROBATION_RATINGS: Final = 60
+#: Such ratings that are shared at once.
+PROMPT_RATINGS: Final = 3
 
 
 class RatingSampler:
@@ -41,13 +45,22 @@
         self._lock = threading.Lock()
         self._waiting = 0
         self._sums: dict[tuple[str, str], Ratings] = {}
-        self._stop = threading.Event()
+        self._stopped = False
+        self._wake = threading.Event()
+        #: Ratings of targets on probation that were not shared yet.
+        self._prompt = 0
 
-    def is_sampled(self) -> bool:
-        """Return True for a random share of calls."""
+    def is_sampled(self, *, always: bool = False) -> bool:
+        """Return True for a random share of calls, or always."""
         if self._rater is None or self._waiting >= MAX_WAITING:
             return False
-        return random.random() < self._share
+        return always or random.random() < self._share
+
+    def is_on_probation(self, version: str, kind: str) -> bool:
+        """Return True if a roll-out's target has few ratings yet."""
+        with self.follower.lock:
+            sums = self.follower.book.sums(version, kind)
+        return sums.number < PROBATION_RATINGS
 
     def rate(
         self,
@@ -55,14 +68,23 @@
         kind: str,
         version: str,
         answer: bytes,
+        *,
+        prompt: bool = False,
     ) -> None:
-        """Rate an answer later."""
+        """Rate an answer later; a prompt rating is shared early."""
         with self._lock:
             self._waiting += 1
         text = answer.decode(errors='replace')
-        self._workers.submit(self._rate, customer, kind, version, text)
+        self._workers.submit(self._rate, customer, kind, version, text, prompt)
 
-    def note(self, version: str, kind: str, rating: float) -> None:
+    def note(
+        self,
+        version: str,
+        kind: str,
+        rating: float,
+        *,
+        prompt: bool = False,
+    ) -> None:
         """Count one rating, to be shared later."""
         key = (version, kind)
         with self._lock:
@@ -73,10 +95,17 @@
                 old.total + rating,
                 old.squares + rating**2,
             )
+            self._prompt += prompt
+            if self._prompt >= PROMPT_RATINGS:
+                self._wake.set()
 
     def run(self, period_seconds: float) -> None:
-        """Share the ratings each period until stopped."""
-        while not self._stop.wait(period_seconds):
+        """Share the ratings each period, or early, until stopped."""
+        while True:
+            self._wake.wait(period_seconds)
+            self._wake.clear()
+            if self._stopped:
+                return
             self.share()
 
     def share(self) -> None:
@@ -84,6 +113,7 @@
         with self._lock:
             rows = list(self._sums.values())
             self._sums = {}
+            self._prompt = 0
         if not rows:
             return
         try:
@@ -94,7 +124,8 @@
 
     def stop(self) -> None:
         """End run()."""
-        self._stop.set()
+        self._stopped = True
+        self._wake.set()
         self._workers.shutdown(wait=False, cancel_futures=True)
 
     def _rate(
@@ -103,6 +134,7 @@
         kind: str,
         version: str,
         text: str,
+        prompt: bool,
     ) -> None:
         try:
             assert self._rater is not None
@@ -114,4 +146,4 @@
             with self._lock:
                 self._waiting -= 1
         self._on_rating(customer, rating)
-        self.note(version, kind, rating)
+        self.note(version, kind, rating, prompt=prompt)
--- a/src/toucancourse/delivery/services.py
+++ b/src/toucancourse/delivery/services.py
@@ -140,6 +140,7 @@
     def _run(self, call: ServiceCall) -> Kept:
         """Run an unkeyed call, on another endpoint only if it did not run."""
         last: CourseError = _no_endpoint(call)
+        may_have_run = False
         tries = itertools.count()
         for _ in list_passes(call.demand):
             for link in self._links(call):
@@ -150,6 +151,9 @@
                 except CourseError as error:
                     last = error
                     self._log_try(call, link, error)
+                    may_have_run |= error.outcome is not Outcome.not_run
+                    if may_have_run:
+                        error.outcome = Outcome.unknown
                     if not _may_repeat(call, error):
                         raise
         raise last
--- a/src/toucancourse/delivery/tries.py
+++ b/src/toucancourse/delivery/tries.py
@@ -50,33 +50,40 @@
     ) -> Served:
         """Return the first attempt that gives an answer.
 
-        Raises the last refusal if none does.
+        Raises the last refusal if none does. Its outcome is "unknown" if an
+        earlier attempt may have run, whatever became of the last one.
         """
+        try:
+            return self._run(exchange, candidates, steps)
+        except CourseError as error:
+            ran = any(step.may_have_run for step in steps)
+            if ran and error.outcome is Outcome.not_run:
+                error.outcome = Outcome.unknown
+            raise
+
+    def _run(
+        self,
+        exchange: Exchange,
+        candidates: list[Candidate],
+        steps: list[Step],
+    ) -> Served:
         last: CourseError = UnavailableError('no endpoint serves the version')
         for candidate, link in self._list_tries(exchange, candidates):
             if steps and not self._may_retry(last):
                 break
             if remaining_seconds(exchange.demand) <= 0:
                 raise DeadlineError('the deadline passed')
-            began = time.monotonic()
-            code = 'ok'
             try:
-                return self._try_one(exchange, candidate.version, link)
+                return self._try_one(exchange, candidate.version, link, steps)
+            except CallerGoneError:
+                raise
             except CourseError as error:
                 last = error
-                code = error.code
                 logger.bind(
                     request=exchange.request_id,
                     customer=exchange.caller.customer,
                     endpoint=link.instance.name,
                 ).info('try ended: {} {}', error.code, error.text)
-                if isinstance(error, CallerGoneError):
-                    raise
-            finally:
-                seconds = time.monotonic() - began
-                steps.append(
-                    Step(candidate.version, link.instance.name, code, seconds)
-                )
         raise last
 
     def _list_tries(
@@ -105,15 +112,35 @@
         self._metrics.retries.inc()
         return self._parts.budget.spend()
 
-    def _try_one(self, exchange: Exchange, version: str, link: Link) -> Served:
+    def _try_one(
+        self,
+        exchange: Exchange,
+        version: str,
+        link: Link,
+        steps: list[Step],
+    ) -> Served:
+        began = time.monotonic()
         race = Race(self._open(exchange, version, link))
+        code = 'ok'
         try:
             winner = self._await_winner(exchange, race)
         except CourseError as error:
+            code = error.code
             for served in race.running:
                 self._note_failure(served, error)
             race.cancel()
             raise
+        finally:
+            seconds = time.monotonic() - began
+            steps.append(
+                Step(
+                    version,
+                    link.instance.name,
+                    code,
+                    seconds,
+                    race.may_have_run(),
+                )
+            )
         race.cancel(winner)
         self._parts.note_attempt(winner.link, failed=False)
         return winner
--- a/src/toucancourse/errors.py
+++ b/src/toucancourse/errors.py
@@ -146,7 +146,7 @@
 
 
 class DeadlineError(CourseError):
-    """The deadline passed before the request was started."""
+    """The deadline passed before an answer began."""
 
     code = 'deadline_exceeded'
     status = 504
--- a/src/toucancourse/rollout/watch.py
+++ b/src/toucancourse/rollout/watch.py
@@ -24,12 +24,25 @@
 #: Kind under which every try counts: 1 if it ended well, else 0.
 OUTCOME_KIND: Final = '!outcome'
 #: Ratings of the target below which nothing is concluded.
-MIN_RATINGS: Final = 12
+MIN_RATINGS: Final = 5
 #: A smaller loss of quality is never held against the target.
 MIN_LOSS: Final = 0.03
-#: Standard errors between target and source: 0.003% for one look, and below
-#: 0.5% over the 150 looks of a five-minute stage.
-MIN_ERRORS: Final = 4.0
+#: Ratings of the target -> standard errors that its loss must reach: Student's
+#: t at 0.003% for one look, below 0.5% over a stage of 150 looks.
+MIN_ERRORS: Final = (
+    (5, 17.5),
+    (6, 12.3),
+    (7, 9.9),
+    (8, 8.5),
+    (9, 7.6),
+    (10, 7.0),
+    (12, 6.3),
+    (16, 5.5),
+    (21, 5.1),
+    (31, 4.7),
+    (61, 4.3),
+    (200, 4.1),
+)
 #: Deviation of one rating assumed of the published quality.
 PRIOR_DEVIATION: Final = 0.1
 #: Smallest deviation of one rating that is believed.
@@ -58,7 +71,7 @@
         return (
             self.target.number >= MIN_RATINGS
             and loss >= MIN_LOSS
-            and loss >= MIN_ERRORS * error
+            and loss >= _find_errors(self.target.number) * error
         )
 
 
@@ -135,6 +148,15 @@
         )
 
 
+def _find_errors(number: float) -> float:
+    """Return the standard errors wanted at a number of ratings."""
+    wanted = MIN_ERRORS[0][1]
+    for least, errors in MIN_ERRORS:
+        if number >= least:
+            wanted = errors
+    return wanted
+
+
 def _make_sample(sums: Ratings) -> Sample:
     mean = sums.total / sums.number
     square = sums.squares / sums.number - mean**2
--- a/src/toucancourse/routing/endpoints.py
+++ b/src/toucancourse/routing/endpoints.py
@@ -1,6 +1,7 @@
 """Choice of an endpoint among those that serve a version."""
 
 import random
+import time
 from abc import ABC, abstractmethod
 from collections.abc import Sequence
 from typing import Final, NamedTuple
@@ -13,6 +14,8 @@
 AFFINITY_SLACK: Final = 1.25
 #: Recent share of failures from which on an endpoint is tried last.
 MAX_FAILING: Final = 0.5
+#: Pressure up to which the own zone is preferred.
+IDLE_PRESSURE: Final = 0.5
 
 
 class View(NamedTuple):
@@ -40,7 +43,12 @@
 
 
 class PowerOfTwo(Chooser):
-    """The less loaded of two drawn at random, own zone first."""
+    """The less loaded of two drawn at random, own zone first while idle.
+
+    A hop to another zone costs a millisecond or two and a queue hundreds, so
+    the own zone counts only for endpoints that have much room. A full
+    endpoint goes before one that fails: it will answer.
+    """
 
     def __init__(self, zone: str) -> None:
         """Keep the entry's zone."""
@@ -49,12 +57,27 @@
     def order(self, views: Sequence[View], prefix: str) -> list[View]:
         """Return the endpoints in the order of trial."""
         drawn = random.sample(list(views), len(views))
-        near = [view for view in drawn if view.zone == self._zone]
-        far = [view for view in drawn if view.zone != self._zone]
-        ordered = _swap_first(near) + _swap_first(far)
-        free = [view for view in ordered if _has_room(view)]
-        full = [view for view in ordered if not _has_room(view)]
-        return free + sorted(full, key=View.pressure)
+        sound = [view for view in drawn if view.failing < MAX_FAILING]
+        failing = [view for view in drawn if view.failing >= MAX_FAILING]
+        free = [view for view in sound if _has_room(view)]
+        full = [view for view in sound if not _has_room(view)]
+        return [
+            *self._order_free(free),
+            *sorted(full, key=View.pressure),
+            *sorted(failing, key=lambda view: view.failing),
+        ]
+
+    def _order_free(self, free: list[View]) -> list[View]:
+        near = [view for view in free if self._is_idle_near(view)]
+        two = (near or free)[:2]
+        rest = [view for view in free if view not in two]
+        return [
+            *sorted(two, key=View.pressure),
+            *sorted(rest, key=View.pressure),
+        ]
+
+    def _is_idle_near(self, view: View) -> bool:
+        return view.zone == self._zone and view.pressure() <= IDLE_PRESSURE
 
 
 class PrefixAffinity(Chooser):
@@ -79,31 +102,38 @@
         return rest
 
 
-def _swap_first(views: list[View]) -> list[View]:
-    if len(views) > 1 and views[1].pressure() < views[0].pressure():
-        views[0], views[1] = views[1], views[0]
-    return views
+def _has_room(view: View) -> bool:
+    return view.running < view.window
+
 
+class _Failing(NamedTuple):
+    """Share of failures at a time of time.monotonic()."""
 
-def _has_room(view: View) -> bool:
-    return view.running < view.window and view.failing < MAX_FAILING
+    share: float
+    moment: float
 
 
 class Outliers:
-    """Failure rates of endpoints, forgetting old ones."""
+    """Recent failure rates of endpoints; they fade, so each is tried again."""
 
-    #: Weight of the newest attempt.
-    _step: Final = 0.2
+    #: Weight of the newest attempt: two failures in a row pass MAX_FAILING.
+    _step: Final = 0.3
+    _half_life_seconds: Final = 5.0
 
     def __init__(self) -> None:
         """Start with no failures."""
-        self._failing: dict[str, float] = {}
+        self._failing: dict[str, _Failing] = {}
 
     def note(self, instance: str, *, failed: bool) -> None:
         """Count an attempt."""
-        old = self._failing.get(instance, 0.0)
-        self._failing[instance] = old + self._step * (failed - old)
+        old = self.failing(instance)
+        share = old + self._step * (failed - old)
+        self._failing[instance] = _Failing(share, time.monotonic())
 
     def failing(self, instance: str) -> float:
         """Return the recent share of failures."""
-        return self._failing.get(instance, 0.0)
+        found = self._failing.get(instance)
+        if found is None:
+            return 0.0
+        age = time.monotonic() - found.moment
+        return float(found.share * 0.5 ** (age / self._half_life_seconds))
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -114,10 +114,12 @@
         if version not in self._versions:
             call.reply({'error': {'message': f'no version {version}'}}, 404)
             return
-        kind = str((body.get('metadata') or {}).get('kind', ''))
+        metadata = body.get('metadata') or {}
+        kind = str(metadata.get('kind', ''))
         row = self._journal.add(
             version=version,
             kind=kind,
+            mark=str(metadata.get('mark', '')),
             quality=self._find_quality(version, kind),
             request=call.handler.headers.get('X-Request-Id', ''),
             state='running',
--- a/tests/test_promises_delivery.py
+++ b/tests/test_promises_delivery.py
@@ -63,6 +63,41 @@
     return thread, results
 
 
+class TestModelRefusals:
+    """A refused model request says truly whether an engine had it."""
+
+    def test_failed_then_unreachable(self, world: World) -> None:
+        """The second try did not run, but the first one did."""
+        engine = world.engines['m1']
+        call(engine, 'POST', '/fault', {'status': 500})
+        world.set_fault('engine:m2', 'refuse')
+        before = call(engine, 'GET', '/journal').json()['refused']
+        answer = world.chat(headers={'X-Deadline-Ms': '2500'})
+        after = call(engine, 'GET', '/journal').json()['refused']
+        call(engine, 'POST', '/fault', {'status': 0})
+        assert answer.status >= 500
+        assert after > before
+        assert outcome(answer) == 'unknown'
+
+    def test_deadline_while_running(self, world: World) -> None:
+        """The deadline passed while an engine worked on it."""
+        for name in ('m1', 'm2'):
+            fault = {'token_delay': 1.0}
+            call(world.engines[name], 'POST', '/fault', fault)
+        time.sleep(0.1)
+        answer = world.chat(headers={'X-Deadline-Ms': '500'})
+        for name in ('m1', 'm2'):
+            call(world.engines[name], 'POST', '/fault', {'token_delay': 0.0})
+        assert answer.json()['error']['code'] == 'deadline_exceeded'
+        assert outcome(answer) == 'unknown'
+
+    def test_unreachable_everywhere(self, world: World) -> None:
+        """No engine could be reached: not run."""
+        world.set_fault('engine:*', 'refuse')
+        answer = world.chat(headers={'X-Deadline-Ms': '1500'})
+        assert outcome(answer) == NOT_RUN
+
+
 class TestNonIdempotent:
     """A booking or a refund runs at most once."""
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -66,6 +66,32 @@
             yield answer
 
 
+class TestCancel:
+    """An attempt that was given up before it was sent never runs."""
+
+    def test_unsent_is_withdrawn(self) -> None:
+        """Its refusal says "not run", and no message carries it later."""
+        link = make_link('127.0.0.1:1')
+        link.connected = True
+        attempt = link.open(peer_pb2.Open(request='e:1'))
+        link.cancel(attempt)
+        assert attempt.has_ended()
+        assert not attempt.may_have_run()
+        gossip = Gossip(Configuration(), Freshness('east', 4), 0.2)
+        message = link._compose([attempt.request], gossip)
+        assert not message.opens
+
+    def test_sent_may_run(self) -> None:
+        """One that is on its way is cancelled and may have run."""
+        link = make_link('127.0.0.1:1')
+        link.connected = True
+        attempt = link.open(peer_pb2.Open(request='e:1'))
+        gossip = Gossip(Configuration(), Freshness('east', 4), 0.2)
+        assert link._compose([attempt.request], gossip).opens
+        link.cancel(attempt)
+        assert attempt.may_have_run()
+
+
 class TestVersions:
     """Peers of different versions talk."""
 
