Add make experiment and make chaos

Cause: no comparison with a naive router existed, and double faults on a whole fleet were tried nowhere.

--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo fleet test lint format bench capacity clean
+.PHONY: setup demo fleet test lint format bench capacity experiment chaos clean
 
 setup: $(STAMP)
 
@@ -41,5 +41,14 @@
 capacity: setup
 	$(BIN)/python -m bench.capacity
 
+# Compares ours with the naive router and writes docs/EXPERIMENT.md.
+experiment: setup
+	$(BIN)/python -m bench.experiment
+
+# Ten minutes of random double faults; SEED=2 gives another run.
+SEED ?= 1
+chaos: setup
+	$(BIN)/python -m bench.chaos --seed $(SEED)
+
 clean:
 	rm -rf $(VENV)
