--- a/src/toucancourse/admission/window.py
+++ b/src/toucancourse/admission/window.py
@@ -85,10 +85,6 @@
         """Return True while the endpoint has not shown that it is warm."""
         return self._window == COLD_WINDOW
 
-    def free(self) -> int:
-        """Return how many more requests the window admits."""
-        return max(0, self._window - self._running - len(self._queue))
-
     def acquire(self, timeout: float, priority: int = 0) -> None:
         """Take a place, waiting for one behind higher priorities.
 
--- a/src/toucancourse/billing/ledger.py
+++ b/src/toucancourse/billing/ledger.py
@@ -180,11 +180,6 @@
                 AdoptedBill(incarnation, int(sequence), list(line))
             )
 
-    def available(self, customer: str, day: str) -> int:
-        """Return what this entry may still set aside."""
-        with self._lock:
-            return self._available((customer, day))
-
     def flush(self) -> list[str]:
         """Append what was settled; return the requests now durable.
 
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -5,7 +5,7 @@
 import time
 import uuid
 from collections.abc import Iterable
-from typing import Any, Final
+from typing import Final
 
 from loguru import logger
 
@@ -13,10 +13,7 @@
 from ..admin.routes import AdminHandler
 from ..admission.limits import ContractLimits, RetryBudget
 from ..billing import claims as claim_items
-from ..billing import spend as spend_items
-from ..billing.claims import ClaimBook
 from ..billing.ledger import Ledger, find_gone
-from ..billing.spend import SpendBook
 from ..contract.records import Change
 from ..delivery.callers import authenticate
 from ..delivery.chat import ChatHandler
@@ -34,15 +31,12 @@
 from ..platform.rater import HttpRater
 from ..protocol import peer_pb2
 from ..report import levels as level_items
-from ..report.levels import Level, LevelBook, LevelRecorder
+from ..report.levels import Level, LevelRecorder
 from ..report.metrics import ChatMetrics
 from ..rollout.watch import RolloutWatch
-from ..routing import quality as quality_items
 from ..routing.endpoints import PowerOfTwo, PrefixAffinity
-from ..routing.quality import QualityBook
 from ..settings.files import Settings
 from ..streams.appender import Appender
-from ..streams.follower import Follower
 from ..web.messages import (
     Environ,
     Request,
@@ -53,6 +47,7 @@
     send,
 )
 from ..web.server import Bounds, Server
+from .books import Books
 from .core import Core
 
 POOL_SECONDS: Final = 0.5
@@ -66,8 +61,6 @@
 SECRET_BYTES: Final = 32
 ADMIN_THREADS: Final = 8
 ADMIN_BODY_BYTES: Final = 1_048_576
-#: Records of a small stream after which a snapshot is due.
-STREAM_SNAPSHOT_RECORDS: Final = 2000
 
 
 class Entry:
@@ -82,37 +75,13 @@
         self._refuse = False
         self._count = threading.Lock()
         self._absent: dict[str, float] = {}
-        poll = settings.number('configuration', 'poll_seconds')
-        self._claim_follower = Follower(
-            core.log, claim_items.STREAM, claim_items.CODEC, ClaimBook(), poll
-        )
-        self._spend_follower = Follower(
-            core.log, spend_items.STREAM, spend_items.CODEC, SpendBook(), poll
-        )
-        self._quality_follower = Follower(
-            core.log,
-            quality_items.STREAM,
-            quality_items.CODEC,
-            QualityBook(),
-            poll,
-        )
-        self._level_follower = Follower(
-            core.log,
-            level_items.STREAM,
-            level_items.CODEC,
-            LevelBook(),
-            poll,
-        )
-        self._followers: tuple[Follower[Any], ...] = (
-            self._claim_follower,
-            self._spend_follower,
-            self._quality_follower,
-            self._level_follower,
+        self._books = Books(
+            core.log, settings.number('configuration', 'poll_seconds')
         )
         self._levels = LevelRecorder(core.incarnation, core.log)
         self._hold_seconds = settings.number('entry', 'allowance_hold_seconds')
         self.ledger = Ledger(
-            core.incarnation, core.log, self._spend_follower, self._hold_seconds
+            core.incarnation, core.log, self._books.spend, self._hold_seconds
         )
         self.pool = Pool(
             core.directory,
@@ -126,7 +95,7 @@
             settings.number('entry', 'claim_seconds'),
         )
         self.claims = Claims(
-            core.incarnation, self._appender, self._claim_follower, self.pool
+            core.incarnation, self._appender, self._books.claims, self.pool
         )
         near = PowerOfTwo(core.zone)
         self.parts = EntryParts(
@@ -149,11 +118,11 @@
             HttpRater(rater_url, core.timeout) if rater_url else None,
             settings.number('entry', 'rating_share'),
             core.log,
-            self._quality_follower,
+            self._books.quality,
             self._note_rating,
         )
         metrics = ChatMetrics()
-        pins = Pins(self._appender, self._claim_follower)
+        pins = Pins(self._appender, self._books.claims)
         self._chat = ChatHandler(
             self.parts, pins, self._sampler, metrics, self._levels
         )
@@ -171,14 +140,14 @@
         self._changes = Changes(core.log, core.configuration, core.reader)
         self._watch = RolloutWatch(
             core.configuration,
-            self._quality_follower,
+            self._books.quality,
             lambda change: self._changes.submit(change, CHANGE_SECONDS),
         )
         admin = AdminHandler(
             self.parts,
             self._changes,
-            self._spend_follower,
-            self._level_follower,
+            self._books.spend,
+            self._books.levels,
             settings.text('entry', 'operator_token_sha256'),
         )
         self._admin_server = Server(
@@ -194,8 +163,7 @@
         core.directory.listen(self.pool.update)
         core.configuration.listen(self.pool.wake)
         self.pool.update()
-        for follower in self._followers:
-            core.spawn(follower.run)
+        self._books.run(core.spawn)
         core.spawn(self._appender.run)
         core.spawn(
             lambda: self._sampler.run(
@@ -278,8 +246,7 @@
         # Sidecars drop their copies of the bills just confirmed.
         time.sleep(core.heartbeat / 2)
         self.pool.close()
-        for follower in self._followers:
-            follower.stop()
+        self._books.stop()
         core.close()
         logger.info('entry stopped')
 
@@ -365,21 +332,13 @@
         self.core.write_snapshot_if_due()
         self._ensure_key()
         if self.core.is_writer():
-            self._write_stream_snapshots()
+            self._books.write_snapshots()
         self._retire_gone()
 
     def _check_rollouts(self) -> None:
         if self.core.is_writer():
             self._watch.check()
 
-    def _write_stream_snapshots(self) -> None:
-        for follower in self._followers:
-            if follower.records_since_snapshot >= STREAM_SNAPSHOT_RECORDS:
-                try:
-                    follower.write_snapshot()
-                except LogDownError as error:
-                    logger.warning('no snapshot written: {}', error)
-
     def _ensure_key(self) -> None:
         """Create the first key for conversation ids; one entry's is kept."""
         state = self.core.configuration.state
@@ -405,8 +364,8 @@
 
     def _retire_gone(self) -> None:
         """Return what entries hold that nobody has heard of for long."""
-        with self._spend_follower.lock:
-            holders = self._spend_follower.book.holders()
+        with self._books.spend.lock:
+            holders = self._books.spend.book.holders()
         live = {self.core.incarnation}
         for link in self.pool.links():
             live.update(link.roster.incarnations)
--- a/src/toucancourse/delivery/links.py
+++ b/src/toucancourse/delivery/links.py
@@ -17,6 +17,7 @@
 from ..protocol import peer_pb2, peer_pb2_grpc
 from ..protocol.outbox import Outbox
 from .attempts import Attempt
+from .fates import Fates
 
 PROTOCOL_VERSION: Final = 1
 MIN_BACKOFF_SECONDS: Final = 0.05
@@ -72,8 +73,7 @@
         self._outbox: Outbox[Item] = Outbox()
         self._lock = threading.Lock()
         self._attempts: dict[int, Attempt] = {}
-        self._fates: dict[tuple[str, int], list[peer_pb2.Fate]] = {}
-        self._fated = threading.Condition(self._lock)
+        self._fates = Fates()
         self._stop = threading.Event()
         self._last_heard = 0.0
         self._broken_since = time.monotonic()
@@ -140,16 +140,11 @@
         timeout: float,
     ) -> peer_pb2.Fate | None:
         """Return what became of another entry's attempt, if answered."""
-        key = (incarnation, attempt)
-        with self._lock:
-            self._fates[key] = []
+        self._fates.expect(incarnation, attempt)
         self._outbox.put(
             peer_pb2.Inquiry(attempt=attempt, incarnation=incarnation)
         )
-        with self._fated:
-            self._fated.wait_for(lambda: self._fates[key], timeout)
-            found = self._fates.pop(key)
-        return found[0] if found else None
+        return self._fates.take(incarnation, attempt, timeout)
 
     def wake(self) -> None:
         """Send a message now, with the records that the peer lacks."""
@@ -352,11 +347,7 @@
             elif attempt is not None:
                 attempt.fail(self._make_loss())
             return
-        with self._fated:
-            waiting = self._fates.get((fate.incarnation, fate.attempt))
-            if waiting is not None:
-                waiting.append(fate)
-                self._fated.notify_all()
+        self._fates.receive(fate)
 
 
 def _is_repeatable(attempt: Attempt) -> bool:
