--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -11,7 +11,7 @@
 
 import psutil
 
-from standins.fleet import call
+from standins.calls import call
 
 from .relay import measure_ours
 from .worlds import BenchWorld
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -14,7 +14,8 @@
 from collections.abc import Callable, Iterator
 from typing import Any, Final, NamedTuple
 
-from standins.fleet import Fleet, call, hash_token, wait_until
+from standins.calls import call, hash_token, wait_until
+from standins.fleet import Fleet
 
 from .traffic import DONE, KEY, NOT_RUN, Told, Traffic
 
--- a/bench/claims.py
+++ b/bench/claims.py
@@ -8,7 +8,7 @@
 from http.client import HTTPException
 from typing import NamedTuple
 
-from standins.fleet import call
+from standins.calls import call
 
 from .streams import percentile
 from .worlds import KEY, BenchWorld
--- a/bench/pauses.py
+++ b/bench/pauses.py
@@ -12,7 +12,7 @@
 from http.client import HTTPException
 from typing import Final
 
-from standins.fleet import call
+from standins.calls import call
 
 from .worlds import KEY, VERSION, BenchWorld
 
--- a/bench/relay.py
+++ b/bench/relay.py
@@ -5,7 +5,9 @@
 
 import psutil
 
-from standins.fleet import HOST, Fleet, Node, call, find_port, wait_until
+from standins.calls import HOST, call, find_port, wait_until
+from standins.fleet import Fleet
+from standins.nodes import Node
 
 from .streams import make_request, percentile, run_streams
 from .worlds import KEY, BenchWorld
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -6,7 +6,9 @@
 from collections.abc import Callable, Mapping
 from typing import Any, Final, NamedTuple
 
-from standins.fleet import Fleet, Node, call, hash_token
+from standins.calls import call, hash_token
+from standins.fleet import Fleet
+from standins.nodes import Node
 
 from .load import Work
 
--- a/bench/traffic.py
+++ b/bench/traffic.py
@@ -8,7 +8,8 @@
 from http.client import HTTPException
 from typing import Any, Final, NamedTuple
 
-from standins.fleet import Answer, Fleet, call
+from standins.calls import Answer, call
+from standins.fleet import Fleet
 
 KEY: Final = 'chaos-key'
 DEADLINE_MS: Final = 4000
--- a/standins/demo.py
+++ b/standins/demo.py
@@ -9,7 +9,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from .fleet import OPERATOR_TOKEN, Answer, wait_until
+from .calls import Answer, wait_until
+from .fleet import OPERATOR_TOKEN
 from .users import KEYS, UserFleet, load_workload
 
 ENTRIES = ('entry-1', 'entry-2')
--- a/standins/users.py
+++ b/standins/users.py
@@ -4,7 +4,8 @@
 from pathlib import Path
 from typing import Any
 
-from .fleet import Answer, Fleet, call, hash_token
+from .calls import Answer, call, hash_token
+from .fleet import Fleet
 
 WORKLOAD = Path(__file__).parent / 'workload'
 KEYS = {'chikugo': 'chikugo-key', 'garmi': 'garmi-key'}
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -7,7 +7,7 @@
 import pytest
 from freezegun import freeze_time
 
-from standins.fleet import call
+from standins.calls import call
 from toucancourse.admission.limits import ContractLimits, RetryBudget
 from toucancourse.admission.window import FullError, Window
 from toucancourse.errors import LimitedError
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -6,7 +6,7 @@
 import openai
 import pytest
 
-from standins.fleet import call, wait_until
+from standins.calls import call, wait_until
 
 from .world import CHIKUGO_KEY, World
 
--- a/tests/test_dispatch.py
+++ b/tests/test_dispatch.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from standins.fleet import HOST, find_port
+from standins.calls import HOST, find_port
 from standins.serving import Call, Journal, serve
 from toucancourse.admission.gate import Gate
 from toucancourse.admission.window import Window
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -8,7 +8,7 @@
 import pytest
 from freezegun import freeze_time
 
-from standins.fleet import wait_until
+from standins.calls import wait_until
 from toucancourse.contract.state import State
 from toucancourse.delivery.peers import (
     REATTACH_SECONDS,
--- a/tests/test_placement.py
+++ b/tests/test_placement.py
@@ -4,7 +4,8 @@
 
 import pytest
 
-from standins.fleet import Fleet, call, wait_until
+from standins.calls import call, wait_until
+from standins.fleet import Fleet
 from toucancourse.contract.state import State, Stored
 from toucancourse.rollout.placement import Order, list_orders
 
--- a/tests/test_promises_billing.py
+++ b/tests/test_promises_billing.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from standins.fleet import wait_until
+from standins.calls import wait_until
 
 from .world import CHIKUGO_KEY, World, make_contract
 
--- a/tests/test_promises_configuration.py
+++ b/tests/test_promises_configuration.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from standins.fleet import call, wait_until
+from standins.calls import call, wait_until
 
 from .world import VERSIONS, World, make_contract
 
--- a/tests/test_promises_delivery.py
+++ b/tests/test_promises_delivery.py
@@ -10,7 +10,7 @@
 
 import pytest
 
-from standins.fleet import Answer, call, wait_until
+from standins.calls import Answer, call, wait_until
 
 from .world import World
 
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -7,7 +7,7 @@
 import grpc
 import pytest
 
-from standins.fleet import find_port, wait_until
+from standins.calls import find_port, wait_until
 from toucancourse.contract.state import State
 from toucancourse.delivery.attempts import Attempt
 from toucancourse.delivery.links import Link
--- a/tests/test_rollout.py
+++ b/tests/test_rollout.py
@@ -6,7 +6,7 @@
 
 import pytest
 
-from standins.fleet import call, wait_until
+from standins.calls import call, wait_until
 from toucancourse.contract.state import State, Stored
 from toucancourse.rollout.watch import compare_versions
 from toucancourse.routing.quality import QualityBook, Ratings
--- a/tests/world.py
+++ b/tests/world.py
@@ -4,7 +4,8 @@
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
-from standins.fleet import Answer, Fleet, call, hash_token, wait_until
+from standins.calls import Answer, call, hash_token, wait_until
+from standins.fleet import Fleet
 
 CHIKUGO_KEY = 'chikugo-key'
 GARMI_KEY = 'garmi-key'
