Keep a stream's first words in front of those that follow

When an answer begins, the thread of the request hands the buffered frames to the caller's writer while the peer's reader thread goes on delivering. write_to() set the writer before it had written the buffer, and _take_data() writes without the lock once it sees a writer, so a frame could overtake the buffer.

Change: the writer is set after the buffer is written, under the same lock; a frame that arrives meanwhile waits for it.

Measured: the new test, which delivers a frame in the middle of the takeover, fails on the old file ([second, first]) and passes now; 13 tests of the protocol and of hedging pass.

--- a/src/toucancourse/delivery/attempts.py
+++ b/src/toucancourse/delivery/attempts.py
@@ -113,13 +113,17 @@
             return self.has_ended()
 
     def write_to(self, writer: Writer) -> None:
-        """Write what came so far, and all that comes later, to a writer."""
+        """Write what came so far, and all that comes later, to a writer.
+
+        The writer is set only after the first parts are written: a frame that
+        arrives meanwhile waits for the lock and can't overtake them.
+        """
         with self._changed:
-            self._writer = writer
             parts = b''.join(self._parts)
             self._parts = []
             if parts:
-                self._write(parts)
+                self._write(writer, parts)
+            self._writer = writer
 
     def body(self) -> bytes:
         """Return the body received so far."""
@@ -141,18 +145,20 @@
         return self.end
 
     def _take_data(self, data: bytes) -> None:
-        if self._writer is None:
+        writer = self._writer
+        if writer is None:
             with self._changed:
-                if self._writer is None:
+                writer = self._writer
+                if writer is None:
                     self._parts.append(data)
                     return
-        self._write(data)
+        self._write(writer, data)
 
-    def _write(self, data: bytes) -> None:
-        if self.caller_gone or self._writer is None:
+    def _write(self, writer: Writer, data: bytes) -> None:
+        if self.caller_gone:
             return
         try:
-            self._writer(data)
+            writer(data)
         except Exception:  # noqa: BLE001 - any failure means no more writing
             self.caller_gone = True
             with self._changed:
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -187,6 +187,35 @@
             attempt.check()
 
 
+class TestWriteTo:
+    """Data keeps its order while a writer takes over the first parts."""
+
+    def test_frame_during_takeover(self) -> None:
+        """A frame that arrives then is written after the first parts."""
+        attempt = Attempt(peer_pb2.Open())
+        attempt.deliver([peer_pb2.Frame(data=b'first')])
+        later = peer_pb2.Frame(seq=1, data=b'second')
+        arrived = threading.Event()
+        written: list[bytes] = []
+
+        def deliver() -> None:
+            attempt.deliver([later])
+            arrived.set()
+
+        reader = threading.Thread(target=deliver, daemon=True)
+
+        def write(data: bytes) -> None:
+            if not reader.is_alive() and not arrived.is_set():
+                reader.start()
+                # Time enough for an unlocked writer to be overtaken.
+                arrived.wait(0.2)
+            written.append(data)
+
+        attempt.write_to(write)
+        assert arrived.wait(5)
+        assert written == [b'first', b'second']
+
+
 class TestOutbox:
     """Items of many threads leave in order, each once."""
 
