Let peers prove who they are with mutual TLS

Cause: whoever reached a sidecar's port could run requests without a contract, and whoever stood in for a sidecar could read them. Ruled out: a shared secret in the messages and one certificate for all, since neither tells an entry from a sidecar.

Change: an optional [tls] section; certificates name instance and role, the entry checks the sidecar's name, the sidecar that of the Hello.

--- a/src/toucancourse/daemon/core.py
+++ b/src/toucancourse/daemon/core.py
@@ -5,6 +5,7 @@
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
 from typing import Final
 
 from loguru import logger
@@ -19,8 +20,15 @@
 from ..membership.reader import LogReader
 from ..platform.instances import HttpInstanceList
 from ..platform.log import HttpLog, Log
+from ..protocol.transports import (
+    KeyFiles,
+    PlainTransport,
+    TlsTransport,
+    Transport,
+)
 from ..report.metrics import DaemonMetrics
 from ..settings.files import Settings
+from ..settings.schema import KEYS, TLS
 from ..web.health import Health
 from ..web.server import Bounds, Server
 
@@ -46,6 +54,7 @@
         self.timeout = timeout
         self.heartbeat = settings.number('configuration', 'heartbeat_seconds')
         self.log: Log = HttpLog(settings.text('platform', 'log_url'), timeout)
+        self.transport = _make_transport(settings)
         self.configuration = Configuration()
         self.freshness = Freshness(self.zone, stale)
         self.directory = Directory(
@@ -163,6 +172,14 @@
         self.metrics.proof_age.set(time.monotonic() - self.freshness.proof)
 
 
+def _make_transport(settings: Settings) -> Transport:
+    """Return the way to peers; raises CertificateError."""
+    names = [settings.text(TLS, key) for key in KEYS]
+    if not any(names):
+        return PlainTransport()
+    return TlsTransport(KeyFiles(*map(Path, names)))
+
+
 def _guard(task: Callable[[], object]) -> None:
     try:
         task()
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -307,6 +307,7 @@
             self.core.make_gossip,
             self._adopt_bill,
             self._find_period,
+            self.core.transport,
         )
 
     def _find_period(self) -> float:
--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -8,6 +8,7 @@
 
 from loguru import logger
 
+from ..protocol.transports import CertificateError
 from ..settings.files import Settings, SettingsError, read_settings
 from .entry import Entry
 from .logs import set_up_logs
@@ -56,7 +57,7 @@
             Entry(settings) if settings.role == 'entry' else Sidecar(settings)
         )
         daemon.start()
-    except OSError as error:
+    except (OSError, CertificateError) as error:
         logger.error('the daemon did not start: {}', error)
         return EXIT_FAILED
     asked.wait()
--- a/src/toucancourse/daemon/sidecar.py
+++ b/src/toucancourse/daemon/sidecar.py
@@ -85,6 +85,7 @@
             ),
             self._dispatcher,
             self._collector,
+            self.core.transport,
             self.core.make_gossip,
             self._make_load,
             self.core.heartbeat,
@@ -106,7 +107,7 @@
             self.core.every(ORDER_SECONDS, self._give_orders)
         self.core.every(TEND_SECONDS, self.servicer.tend_gone)
         address = self._settings.text('sidecar', 'peer_address')
-        if not self._server.add_insecure_port(address):
+        if not self.core.transport.add_port(self._server, address):
             raise OSError(f'address "{address}" is not available')
         self._server.start()
         logger.info('sidecar serves peers at {}', address)
--- a/src/toucancourse/delivery/links.py
+++ b/src/toucancourse/delivery/links.py
@@ -16,6 +16,7 @@
 from ..platform.instances import Instance
 from ..protocol import peer_pb2, peer_pb2_grpc
 from ..protocol.outbox import Outbox
+from ..protocol.transports import Transport
 from .attempts import Attempt
 from .fates import Fates
 from .logcalls import LogCalls
@@ -26,7 +27,6 @@
 SILENT_HEARTBEATS: Final = 4
 #: How long attempts wait for their sidecar to come back.
 REATTACH_SECONDS: Final = 3.0
-MAX_MESSAGE_BYTES: Final = 1_073_741_824
 
 Item = (
     peer_pb2.Open
@@ -57,6 +57,7 @@
         make_gossip: Callable[[], Gossip],
         adopt_bill: AdoptBill,
         find_period: Callable[[], float],
+        transport: Transport,
     ) -> None:
         """Keep the parts; run() connects."""
         self.instance = instance
@@ -70,6 +71,7 @@
         self._make_gossip = make_gossip
         self._adopt_bill = adopt_bill
         self._find_period = find_period
+        self._transport = transport
         self._gossip = make_gossip()
         self._outbox: Outbox[Item] = Outbox()
         self._lock = threading.Lock()
@@ -183,14 +185,10 @@
 
     def _stream(self) -> bool:
         """Carry one stream; return True if the sidecar answered."""
-        options = [
-            ('grpc.max_receive_message_length', MAX_MESSAGE_BYTES),
-            ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
-            ('grpc.use_local_subchannel_pool', 1),
-        ]
         outbox: Outbox[Item] = Outbox()
         heard = False
-        with grpc.insecure_channel(self.instance.address, options) as channel:
+        row = self.instance
+        with self._transport.open_channel(row.name, row.address) as channel:
             stub = peer_pb2_grpc.PeerStub(channel)
             gossip = self._make_gossip()
             gossip.zone = self.instance.zone
--- a/src/toucancourse/delivery/peers.py
+++ b/src/toucancourse/delivery/peers.py
@@ -13,6 +13,7 @@
 from ..membership.gossip import Gossip
 from ..protocol import peer_pb2, peer_pb2_grpc
 from ..protocol.outbox import Outbox
+from ..protocol.transports import Transport
 from ..protocol.versions import PROTOCOL_VERSION
 from ..streams.collector import Collector
 from .dispatch import Dispatcher
@@ -50,6 +51,7 @@
         identity: Identity,
         dispatcher: Dispatcher,
         collector: Collector,
+        transport: Transport,
         make_gossip: Callable[[], Gossip],
         make_load: Callable[[], peer_pb2.Load],
         heartbeat_seconds: float,
@@ -59,6 +61,7 @@
         self._identity = identity
         self._dispatcher = dispatcher
         self._collector = collector
+        self._transport = transport
         self._make_gossip = make_gossip
         self._make_load = make_load
         self._heartbeat = heartbeat_seconds
@@ -82,6 +85,7 @@
     ) -> Iterator[peer_pb2.SidecarMessage]:
         """Yield messages to one entry until either side ends the stream."""
         first = next(request_iterator)
+        self._check_entry(context, first.hello.instance)
         incarnation = first.hello.incarnation
         gossip = self._make_gossip()
         gossip.zone = first.hello.zone
@@ -146,6 +150,18 @@
                 self._entries.pop(incarnation, None)
                 self._gone[incarnation] = time.monotonic()
 
+    def _check_entry(
+        self,
+        context: grpc.ServicerContext,
+        instance: str,
+    ) -> None:
+        """End the stream of a peer whose certificate is not that entry's."""
+        if self._transport.is_entry(context, instance):
+            return
+        text = f'the certificate does not name entry "{instance}"'
+        logger.warning('peer "{}" refused: {}', context.peer(), text)
+        context.abort(grpc.StatusCode.PERMISSION_DENIED, text)
+
     def _greet(self) -> peer_pb2.SidecarMessage:
         load = self._make_load()
         hello = peer_pb2.Hello(
--- a/src/toucancourse/settings/files.py
+++ b/src/toucancourse/settings/files.py
@@ -6,7 +6,7 @@
 from typing import NamedTuple
 
 from ..errors import CourseError
-from .schema import ROLE_SECTIONS, SCHEMA, Option, Setting
+from .schema import KEYS, ROLE_SECTIONS, SCHEMA, TLS, Option, Setting
 
 
 class SettingsError(CourseError):
@@ -64,6 +64,7 @@
         }
         for section in ROLE_SECTIONS[role]
     }
+    _check_whole(path, sections[TLS])
     return Settings(path, role, sections)
 
 
@@ -85,6 +86,16 @@
                 )
 
 
+def _check_whole(path: str, section: Mapping[str, Setting]) -> None:
+    """Raise SettingsError if some of the keys are set and some are not."""
+    missing = [key for key in KEYS if not section[key]]
+    if missing and len(missing) < len(KEYS):
+        raise SettingsError(
+            f'file "{path}", section "{TLS}": key "{missing[0]}" is missing; '
+            f'allowed are all of {", ".join(KEYS)} or none',
+        )
+
+
 def _read(path: str, parser: ConfigParser, section: str, key: str) -> Setting:
     option: Option = SCHEMA[section][key]
     text = parser.get(section, key, fallback=None)
--- a/src/toucancourse/settings/schema.py
+++ b/src/toucancourse/settings/schema.py
@@ -89,6 +89,10 @@
 ADDRESS: Final = Option(parse_address, None, 'IP:PORT')
 URL: Final = Option(parse_url, None, 'http://IP:PORT')
 
+#: Section of the peers' certificates, and its keys: all are set or none.
+TLS: Final = 'tls'
+KEYS: Final = ('authority_file', 'certificate_file', 'key_file')
+
 #: Section -> key -> option, for both roles.
 SCHEMA: Final[Mapping[str, Mapping[str, Option]]] = {
     'daemon': {
@@ -111,6 +115,9 @@
         'weights_url': URL._replace(default=''),
         'timeout_seconds': decimal(2, 0.05, 60),
     },
+    TLS: {
+        key: Option(parse_text, '', 'the path of a PEM file') for key in KEYS
+    },
     'configuration': {
         'poll_seconds': decimal(1, 0.02, 60),
         'stale_seconds': decimal(4, 0.5, 60),
@@ -151,8 +158,10 @@
     },
 }
 
+_COMMON: Final = ('daemon', 'log', 'platform', TLS, 'configuration')
+
 #: Sections that each role needs.
 ROLE_SECTIONS: Final[Mapping[str, tuple[str, ...]]] = {
-    'entry': ('daemon', 'log', 'platform', 'configuration', 'entry'),
-    'sidecar': ('daemon', 'log', 'platform', 'configuration', 'sidecar'),
+    'entry': (*_COMMON, 'entry'),
+    'sidecar': (*_COMMON, 'sidecar'),
 }
--- a/standins/fleet.py
+++ b/standins/fleet.py
@@ -45,6 +45,8 @@
         self._overrides = overrides
         self._proxied: dict[str, str] = {}
         self.proxy = ''
+        #: Folder with INSTANCE.pem, INSTANCE.key and authority.pem, if any.
+        self.keys: Path | None = None
         self.platform = self.run_standin('platform', 'platform', '/journal')
 
     def __enter__(self) -> 'Fleet':
@@ -359,5 +361,15 @@
                 'weights_url': url,
                 **self._overrides.get('platform', {}),
             },
+            'tls': self._name_keys(name),
             'configuration': {**self._overrides.get('configuration', {})},
         }
+
+    def _name_keys(self, name: str) -> dict[str, Path]:
+        if self.keys is None:
+            return {}
+        return {
+            'authority_file': self.keys / 'authority.pem',
+            'certificate_file': self.keys / f'{name}.pem',
+            'key_file': self.keys / f'{name}.key',
+        }
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -18,6 +18,7 @@
 from toucancourse.platform.instances import Instance
 from toucancourse.protocol import peer_pb2, peer_pb2_grpc
 from toucancourse.protocol.outbox import Outbox
+from toucancourse.protocol.transports import PlainTransport
 
 from .world import World
 
@@ -37,6 +38,7 @@
         lambda: Gossip(configuration, freshness, 0.2),
         lambda copy: None,
         lambda: 0.2,
+        PlainTransport(),
     )
 
 
