Mend a call that ran twice and an allowance that was used twice

Cause: a bounded visit of all interleavings around the real claim book, the sidecar's memory of attempts and the spend book. (1) Entry A owns a claim and is paused; entry B asks the sidecar, which bars A's attempt and forgets that when it is replaced; B runs the call; A wakes and its attempt runs at the new sidecar: the booking ran twice. (2) A request billed by another entry and later by its own took the own entry's allowance twice; what that set free could be granted to another, and the limit was passed (120 of 100).

Change: a claimed call names the sidecar process of its claim, and another process refuses it as not run. A batch takes the repeated bills out, and gives their allowance back, before its own lines use it.

--- a/src/toucancourse/billing/spend.py
+++ b/src/toucancourse/billing/spend.py
@@ -155,8 +155,7 @@
             self._apply_release(item)
         elif isinstance(item, Retire):
             self._retired[item.incarnation] = True
-            for held in self._held.values():
-                held.pop(item.incarnation, None)
+            self._drop_holdings(item.incarnation)
 
     def dump(self) -> dict[str, Any]:
         """Return the state as JSON values."""
@@ -207,16 +206,20 @@
         self._batches[batch.incarnation] = batch.number
         settled = self._settled.setdefault(batch.incarnation, SequenceSet())
         adopted = self._adopted.get(batch.incarnation, {})
-        for row in batch.lines:
-            line = Line(*row)
-            self._add(line, 1)
-            self._use(batch.incarnation, line)
         for sequence in parse_ranges(batch.settled):
             settled.add(sequence)
             # The entry was thought gone and another billed this request.
             repeated = adopted.pop(sequence, None)
             if repeated is not None:
                 self._add(repeated, -1)
+                self._restore(batch.incarnation, repeated)
+        # After the repeated bills are out, so that no allowance is used twice.
+        for row in batch.lines:
+            line = Line(*row)
+            self._add(line, 1)
+            self._use(batch.incarnation, line)
+        if self.is_retired(batch.incarnation):
+            self._drop_holdings(batch.incarnation)
 
     def _apply_adopted(self, bill: AdoptedBill) -> None:
         if self.is_settled(bill.incarnation, bill.sequence):
@@ -254,6 +257,14 @@
     def _use(self, incarnation: str, line: Line) -> None:
         self._take(incarnation, line.customer, line.day, line.cost)
 
+    def _restore(self, incarnation: str, line: Line) -> None:
+        held = self._held[line.customer, line.day]
+        held[incarnation] = held.get(incarnation, 0) + line.cost
+
+    def _drop_holdings(self, incarnation: str) -> None:
+        for held in self._held.values():
+            held.pop(incarnation, None)
+
     def _take(
         self,
         incarnation: str,
--- a/src/toucancourse/delivery/keyed.py
+++ b/src/toucancourse/delivery/keyed.py
@@ -47,6 +47,13 @@
     digest: str
 
 
+class ClaimedSidecar(NamedTuple):
+    """The sidecar process at which a claimed call may run."""
+
+    instance: str
+    incarnation: str
+
+
 class Kept(NamedTuple):
     """A kept answer."""
 
@@ -186,11 +193,11 @@
         An attempt that the sidecar never saw is barred there for ever, so
         its owner can't run it later even if it only was paused.
         """
-        name, _, incarnation = claim.instance.partition('/')
-        link = self._pool.find(name)
+        named = split_instance(claim)
+        link = self._pool.find(named.instance)
         if link is None or not link.connected:
             return
-        if link.sidecar.incarnation != incarnation:
+        if link.sidecar.incarnation != named.incarnation:
             # The sidecar that may have run it is gone with its memory.
             self.end(claim, Outcome.unknown, None)
             return
@@ -233,6 +240,12 @@
             self._active.discard(claim.nonce)
 
 
+def split_instance(claim: Claim) -> ClaimedSidecar:
+    """Return the sidecar that a claim names."""
+    instance, _, incarnation = claim.instance.partition('/')
+    return ClaimedSidecar(instance, incarnation)
+
+
 def make_kept(fate: peer_pb2.Fate) -> Kept:
     """Return the answer that a sidecar kept."""
     return Kept(fate.head.status, fate.head.content_type, fate.data)
--- a/src/toucancourse/delivery/peers.py
+++ b/src/toucancourse/delivery/peers.py
@@ -245,7 +245,12 @@
             )
         except KeyError:
             return
-        if fresh and not self.leaving:
+        meant = request.sidecar or self._identity.incarnation
+        if fresh and meant != self._identity.incarnation:
+            running.send_end(
+                UnavailableError('the attempt was for an earlier sidecar')
+            )
+        elif fresh and not self.leaving:
             self._workers.submit(self._dispatcher.run, running)
         elif fresh:
             running.send_end(LeavingError('the endpoint is leaving'))
--- a/src/toucancourse/delivery/services.py
+++ b/src/toucancourse/delivery/services.py
@@ -6,6 +6,7 @@
 
 from loguru import logger
 
+from ..billing.claims import Claim
 from ..billing.ledger import Hold, today
 from ..billing.spend import Line
 from ..contract.state import State
@@ -41,6 +42,7 @@
     Kept,
     KeyedRequest,
     make_digest,
+    split_instance,
 )
 from .links import Link
 
@@ -153,7 +155,7 @@
                 if next(tries) and not self._parts.budget.spend():
                     raise last
                 try:
-                    return self._try_one(call, link, 0)
+                    return self._try_one(call, link, None)
                 except CourseError as error:
                     last = error
                     log_try(call.request_id, call.caller, link, error)
@@ -185,7 +187,7 @@
             if claim is None:
                 continue
             try:
-                kept = self._try_one(call, link, claim.attempt)
+                kept = self._try_one(call, link, claim)
             except CourseError as error:
                 last = error
                 log_try(call.request_id, call.caller, link, error)
@@ -207,15 +209,25 @@
     def _links(self, call: ServiceCall) -> list[Link]:
         return self._parts.order_links(call.service, '')
 
-    def _try_one(self, call: ServiceCall, link: Link, number: int) -> Kept:
+    def _try_one(
+        self,
+        call: ServiceCall,
+        link: Link,
+        claim: Claim | None,
+    ) -> Kept:
         """Return the service's answer.
 
+        A claimed call runs only at the very process that its claim names: a
+        later one may not know that the attempt was barred meanwhile.
+
         Raises a CourseError whose outcome tells whether the call ran.
         """
         opened = make_open(
             self._parts, call.request_id, call.caller, call.demand
         )
-        opened.attempt = number
+        if claim is not None:
+            opened.attempt = claim.attempt
+            opened.sidecar = split_instance(claim).incarnation
         opened.method = call.method
         opened.path = call.target
         opened.body = call.body
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -20,6 +20,7 @@
 from toucancourse.membership.freshness import Freshness
 from toucancourse.membership.gossip import Gossip
 from toucancourse.protocol import peer_pb2
+from toucancourse.protocol.transports import PlainTransport
 
 
 class FakeContext:
@@ -74,9 +75,12 @@
     configuration.adopt(State())
     freshness = Freshness('east', 4)
     dispatcher: Any = FakeDispatcher()
+    collector: Any = None
     built = PeerServicer(
         Identity('m1', 'east', 'sidecar', 'model', 4),
         dispatcher,
+        collector,
+        PlainTransport(),
         lambda: Gossip(configuration, freshness, 0.05),
         peer_pb2.Load,
         0.05,
@@ -86,6 +90,26 @@
     built.close()
 
 
+class TestClaimedCall:
+    """A claimed call runs only at the process that its claim names."""
+
+    def test_earlier_sidecar(self, servicer: PeerServicer) -> None:
+        """A call meant for an earlier run of the sidecar did not run."""
+        peer = Peer(servicer, 'entry')
+        for number, sidecar in enumerate(('earlier', 'sidecar', ''), 1):
+            request = f'entry:{number}'
+            opened = peer_pb2.Open(
+                request=request, attempt=number, sidecar=sidecar
+            )
+            peer.send(opens=[opened])
+        outcomes: dict[int, str] = {}
+        while len(outcomes) < 3:
+            for frame in next(peer.messages).frames:
+                if frame.HasField('end'):
+                    outcomes[frame.attempt] = frame.end.outcome
+        assert outcomes == {1: 'not_run', 2: 'done', 3: 'done'}
+
+
 class TestEntryGone:
     """An entry that dies leaves its bills to another."""
 
