Cover every version and service; let no damaged item stop a reader

Cause: of 64 of 2,800 endpoints none need serve a service of 8, so every entry at the target size would have missed a version or a service. And one item with a field of a wrong type ended the follower of every entry (found by fuzzing: TypeError in the claim book), a range such as 1- would have filled its memory; records merged by collectors carry items of many entries.

Change: sidecars write what they serve to the stream "offers"; entries add three endpoints for each version and service that their subset lacks. The capacity bench measures up to 84 peers and works out the way of a record with the daemons' own rules.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -12,13 +12,17 @@
 import psutil
 
 from standins.calls import call
+from toucancourse.daemon.entry import ENTRY_PERIOD_SECONDS
 
 from .relay import measure_ours
+from .subset import measure as measure_subset
 from .worlds import BenchWorld
 
 PAGE = Path(__file__).resolve().parent.parent / 'docs' / 'CAPACITY.md'
 #: Entries and sidecars of each measured fleet.
-SIZES = ((2, 3), (6, 12), (10, 24))
+SIZES = ((2, 3), (8, 24), (8, 48), (3, 84))
+#: Peers from which on an entry's statuses no longer grow with its peers.
+PACED_PEERS = 20
 IDLE_SECONDS = 8.0
 CHANGES = 20
 #: Idle engines cost less at a slow pace.
@@ -38,8 +42,13 @@
 CPU_SHARE = 0.016
 MEMORY_MIB = 256
 BYTES_A_SECOND = 3000
-#: Sidecars that an entry keeps a stream to at that size.
-SUBSET = 48
+#: An entry's max_peers at that size.
+MAX_PEERS = 64
+#: Longest way of a record from a reader in the measured fleets.
+FLEET_HOPS = 2
+#: Share of requests that carry an idempotency key.
+KEYED_SHARE = 0.01
+BILL_SECONDS = 0.5
 
 
 class Point(NamedTuple):
@@ -203,34 +212,53 @@
     return 'fits' if value <= limit else '**does not fit**'
 
 
+class Records(NamedTuple):
+    """What requests of one entry append, in records and bytes a second."""
+
+    appends: float
+    size: float
+
+    def bytes_a_record(self) -> float:
+        """Return the mean size of a record."""
+        return self.size / max(self.appends, 1e-9)
+
+
+def measure_claim() -> float:
+    """Return the bytes that one keyed booking appends to the log."""
+    count = 40
+    with BenchWorld(1, 1) as world:
+        before = call(world.platform, 'GET', '/counts').json()
+        for number in range(count):
+            world.book_once(f'capacity-{number}')
+        world.wait_idle_log()
+        after = call(world.platform, 'GET', '/counts').json()
+    return (after['bytes_appended'] - before['bytes_appended']) / count
+
+
 def write_page(points: list[Point]) -> str:
     """Return the page."""
-    entry_cpu = fit_line([(row.peers(), row.entry_cpu) for row in points])
+    paced = [row for row in points if row.sidecars >= PACED_PEERS]
+    entry_cpu = fit_line([(row.peers(), row.entry_cpu) for row in paced])
     sidecar_cpu = fit_line([(row.entries, row.sidecar_cpu) for row in points])
     entry_mib = fit_line([(row.peers(), row.entry_mib) for row in points])
     sidecar_mib = fit_line([(row.entries, row.sidecar_mib) for row in points])
-    entry_bytes = fit_line([(row.peers(), row.entry_bytes) for row in points])
+    entry_bytes = fit_line([(row.peers(), row.entry_bytes) for row in paced])
     side_bytes = fit_line([(row.entries, row.sidecar_bytes) for row in points])
-    daemons = [row.entries + row.sidecars for row in points]
-    reads = fit_line(
-        [(row.entries, row.log_reads) for row in points],
-    )
-    spread = fit_line(
-        [
-            (size, row.change_max)
-            for size, row in zip(daemons, points, strict=True)
-        ]
-    )
-    low, high = measure_bills(5), measure_bills(40)
-    bills = fit_line([(5, low[0]), (40, high[0])])
-    bill_bytes = fit_line([(5, low[1]), (40, high[1])])
+    slowest = max(row.change_max for row in points)
+    graph = measure_subset(MAX_PEERS)
+    subset = round(graph.peers)
+    bills = Records(*measure_bills(40))
+    claim_bytes = measure_claim()
     relay = measure_ours(200, 25.0)
-    entries_per_sidecar = SUBSET * DAEMONS / REPLICAS
-    rate = REQUESTS / DAEMONS
+    entries_per_sidecar = graph.peers * DAEMONS / REPLICAS
     tokens = TOKENS / DAEMONS
     replica_tokens = TOKENS / REPLICAS
     changes = CHANGES_A_DAY / DAY_SECONDS
-    appends = bills.at(rate) * DAEMONS
+    period = max(BILL_SECONDS, DAEMONS * ENTRY_PERIOD_SECONDS)
+    records = DAEMONS / period
+    inbound = records * bills.bytes_a_record()
+    claims_in = REQUESTS * KEYED_SHARE * claim_bytes
+    collected = ZONES * 2 / 0.1
     lines = [HEAD]
     lines += [
         '## Measured fleets',
@@ -256,9 +284,11 @@
         '## Worked out to the target size',
         '',
         f'{DAEMONS} entries, {REPLICAS} sidecars, {ZONES} zones, '
-        f'{SUBSET} peers an entry, so {entries_per_sidecar:.1f} entries a '
+        f'{subset} peers an entry ({MAX_PEERS} and those that cover every '
+        f'version and service), so {entries_per_sidecar:.1f} entries a '
         'sidecar. Slope and error are those of the line through the fleets '
-        'above, per peer, unless said otherwise.',
+        f'above, per peer; CPU and bytes of an entry from {PACED_PEERS} peers '
+        'on, where the pace of its statuses no longer follows its peers.',
         '',
         '| role | what | base | slope | error | at the size | budget | |'
         ' mechanism |',
@@ -284,7 +314,7 @@
         'entry',
         'idle CPU, cores',
         entry_cpu,
-        SUBSET,
+        subset,
         CPU_SHARE,
         'one status a heartbeat and peer; polls of the small streams',
     )
@@ -301,7 +331,7 @@
         'entry',
         'memory, MiB',
         entry_mib,
-        SUBSET,
+        subset,
         MEMORY_MIB,
         'a channel and threads for each peer, the folded streams',
     )
@@ -317,7 +347,7 @@
         'entry',
         'control bytes/s',
         entry_bytes,
-        SUBSET,
+        subset,
         BYTES_A_SECOND,
         'status both ways, gRPC and HTTP/2 frames',
     )
@@ -329,20 +359,20 @@
         BYTES_A_SECOND,
         'status both ways, gRPC and HTTP/2 frames',
     )
-    line(
-        'all',
-        'slowest change in force, s, per daemon',
-        spread,
-        DAEMONS + REPLICAS,
-        5.0,
-        'readers of each zone push records over the peer streams',
-    )
+    in_force = slowest * graph.hops / FLEET_HOPS
     lines += [
+        f'| all | slowest change in force, s | {slowest:.3f} measured | '
+        f'{FLEET_HOPS} hops | | {in_force:.2f} over {graph.hops} hops | 5 '
+        f'| {mark(in_force, 5.0)} | readers of each zone push records over '
+        'the peer streams |',
         '',
-        f'Log reads a second: {reads.base:.2f} and {reads.slope:.2f} for each '
-        f'entry, {reads.at(DAEMONS):.0f} at the size; each entry waits on '
-        'four streams, two readers a zone on the configuration. No budget is '
-        'stated for reads.',
+        f'The longest way of a record at the size is {graph.hops} messages '
+        '(`python -m bench.subset`): worked out with the rules by which '
+        'entries choose their sidecars and zones their readers. An '
+        f'endpoint has {graph.least_entries} to {graph.most_entries} entries; '
+        f'the spread over model endpoints is {graph.spread:.2f} of the mean. '
+        f'Without the offers {graph.missing_percent:.0f}% of the entries '
+        'would miss a version or a service.',
         '',
         '## Load',
         '',
@@ -356,14 +386,22 @@
         f'| {relay.sidecar_us * replica_tokens / 1e6:.2f} | 1 '
         f'| {mark(relay.sidecar_us * replica_tokens / 1e6, 1)} | one task a '
         'connection; a message is sent 5 ms after its first token |',
-        f'| log | bill appends/s | {low[0]:.2f} at 5 requests/s, '
-        f'{high[0]:.2f} at 40 | {appends:.0f} | {LOG_APPENDS} '
-        f'| {mark(appends, LOG_APPENDS)} | a batch an entry each '
-        'bill_seconds, settled ids as ranges |',
-        f'| entry | bill bytes/s | {low[1]:.0f} at 5 requests/s, '
-        f'{high[1]:.0f} at 40 | {bill_bytes.at(rate):.0f} '
-        f'| {BYTES_A_SECOND} | {mark(bill_bytes.at(rate), BYTES_A_SECOND)} '
-        '| totals by customer, version and kind; one mark an incarnation |',
+        f'| log | bill, rating and count appends/s | one a {period:g} s and '
+        f'entry each | {records * 3:.0f} | {LOG_APPENDS} '
+        f'| {mark(records * 3, LOG_APPENDS)} | periods follow the number of '
+        'entries |',
+        f'| log | claim appends/s | at most 10 a collector '
+        f'| {collected:.0f} | {LOG_APPENDS} | {mark(collected, LOG_APPENDS)} '
+        '| two collectors a zone, one record each 0.1 s |',
+        f'| log | all appends/s | the two lines above | '
+        f'{collected + records * 3:.0f} | {LOG_APPENDS} '
+        f'| {mark(collected + records * 3, LOG_APPENDS)} | |',
+        f'| entry | bills received, bytes/s | {bills.bytes_a_record():.0f} a '
+        f'record at 40 requests/s | {inbound:.0f} | {BYTES_A_SECOND} '
+        f'| {mark(inbound, BYTES_A_SECOND)} | every entry folds all bills |',
+        f'| entry | claims received, bytes/s | {claim_bytes:.0f} a keyed call '
+        f'| {claims_in:.0f} at {KEYED_SHARE:.0%} keyed | {BYTES_A_SECOND} '
+        f'| {mark(claims_in, BYTES_A_SECOND)} | every entry folds all claims |',
         f'| log | configuration appends/s | one a change '
         f'| {changes:.3f} | {LOG_APPENDS} | {mark(changes, LOG_APPENDS)} '
         '| compare-and-set in the fold, no lease to renew |',
@@ -385,13 +423,14 @@
 
 TAIL = """## What breaks first, and what would mend it
 
-- **Appends.** Each entry appends its own bills. At the size this is
-  `entries / bill_seconds`; with half a second it passes what the log takes.
-  First step, a setting: `bill_seconds = 5`. Next step, not built: collectors
-  in each zone that merge bills, claims and counts of their zone.
-- **Reads.** Each entry polls the claims, spend, quality and levels streams.
-  The same push over peer streams that carries the configuration would carry
-  them; not built.
+- **Claims.** Every entry folds every claim, so bytes and memory grow with
+  all keyed calls. Not built: one stream for each range of keys, followed by
+  the collectors that serve it, who answer for a key.
+- **Control bytes.** What an entry receives of bills, ratings and counts adds
+  to its statuses. A longer `PEER_PERIOD_SECONDS` buys bytes with later news
+  of load.
+- **Reads.** With collectors they grow with the zones, not with the entries:
+  see [design/collectors.md](design/collectors.md).
 - **Confirmation.** An entry knows the offsets of the sidecars that it has a
   stream to. With a subset of sidecars the tool names the rest as not
   confirmed; they would have to be asked through other entries.
@@ -405,7 +444,7 @@
 
 ## Not measured here
 
-Balance against the subset's size; the daily failures and restarts under load;
+The daily failures and restarts under load;
 regions. They need the users' own bench, which is announced.
 """
 
--- a/bench/worlds.py
+++ b/bench/worlds.py
@@ -93,6 +93,28 @@
     def _try_put(self, name: str, body: object) -> bool:
         return self.put('e1', name, body).status == 200
 
+    def book_once(self, key: str) -> None:
+        """Book with an idempotency key at the first entry."""
+        answer = call(
+            self.daemons['e1'].caller_address,
+            'POST',
+            '/v1/services/booking/bookings',
+            {'motor': key},
+            {'Authorization': f'Bearer {KEY}', 'Idempotency-Key': key},
+        )
+        if answer.status != 201:
+            raise RuntimeError(f'status {answer.status}: {answer.body!r}')
+
+    def wait_idle_log(self) -> None:
+        """Wait until nothing is appended for two seconds."""
+        last = -1
+        while True:
+            counts = call(self.platform, 'GET', '/counts').json()
+            if counts['bytes_appended'] == last:
+                return
+            last = counts['bytes_appended']
+            time.sleep(2)
+
     def chat_once(self) -> None:
         """Ask for a short answer at the first entry."""
         body = {
--- a/src/toucancourse/billing/ranges.py
+++ b/src/toucancourse/billing/ranges.py
@@ -1,6 +1,10 @@
 """Sets of sequence numbers kept as ranges."""
 
 from collections.abc import Iterable, Iterator
+from typing import Final
+
+#: Longest range in one batch.
+MAX_RANGE: Final = 1_000_000
 
 
 def format_ranges(numbers: Iterable[int]) -> str:
@@ -12,10 +16,16 @@
 
 
 def parse_ranges(text: str) -> Iterator[int]:
-    """Yield the numbers of "1-3,7"."""
+    """Yield the numbers of "1-3,7".
+
+    Raises ValueError for a range that no batch can hold.
+    """
     for part in filter(None, text.split(',')):
         low, _, high = part.partition('-')
-        yield from range(int(low), int(high or low) + 1)
+        first, last = int(low), int(high or low)
+        if last - first > MAX_RANGE:
+            raise ValueError(f'range "{part}" is too long')
+        yield from range(first, last + 1)
 
 
 def _find_runs(numbers: list[int]) -> Iterator[tuple[int, int]]:
--- a/src/toucancourse/daemon/books.py
+++ b/src/toucancourse/daemon/books.py
@@ -16,6 +16,9 @@
 from ..report.levels import CODEC as LEVEL_CODEC
 from ..report.levels import STREAM as LEVEL_STREAM
 from ..report.levels import LevelBook
+from ..routing.offers import CODEC as OFFER_CODEC
+from ..routing.offers import STREAM as OFFER_STREAM
+from ..routing.offers import OfferBook
 from ..routing.quality import CODEC as QUALITY_CODEC
 from ..routing.quality import STREAM as QUALITY_STREAM
 from ..routing.quality import QualityBook
@@ -26,7 +29,7 @@
 
 
 class Books:
-    """Claims, spend, quality and levels, each folded from its stream."""
+    """Claims, spend, quality, levels and offers, folded from their streams."""
 
     def __init__(self, log: Log, poll_seconds: float) -> None:
         """Start with empty books; run() follows the streams."""
@@ -42,17 +45,25 @@
         self.levels = Follower(
             log, LEVEL_STREAM, LEVEL_CODEC, LevelBook(), poll_seconds
         )
+        self.offers = Follower(
+            log, OFFER_STREAM, OFFER_CODEC, OfferBook(), poll_seconds
+        )
         self._all: tuple[Follower[Any], ...] = (
             self.claims,
             self.spend,
             self.quality,
             self.levels,
+            self.offers,
         )
 
     def run(self, spawn: Callable[[Callable[[], None]], None]) -> None:
-        """Follow each stream in a task of its own."""
+        """Follow each stream in a task of its own.
+
+        Offers are followed by those who need them.
+        """
         for follower in self._all:
-            spawn(follower.run)
+            if follower is not self.offers:
+                spawn(follower.run)
 
     def write_snapshots(self) -> None:
         """Append a snapshot to each stream that is due for one."""
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -80,18 +80,20 @@
         self._settings = settings
         self._in_flight = 0
         self._refuse = False
+        self._follows_offers = False
         self._count = threading.Lock()
         self._absent: dict[str, float] = {}
+        self._log = CollectedLog(core.log, self._find_collectors, core.timeout)
+        self._books = Books(
+            self._log, settings.number('configuration', 'poll_seconds')
+        )
         self.pool = Pool(
             core.directory,
             self._make_link,
             core.instance,
             core.zone,
             settings.whole(ROLE, 'max_peers'),
-        )
-        self._log = CollectedLog(core.log, self._find_collectors, core.timeout)
-        self._books = Books(
-            self._log, settings.number('configuration', 'poll_seconds')
+            self._books.offers,
         )
         self._levels = LevelRecorder(core.incarnation, self._log)
         self._bill_seconds = settings.number(ROLE, 'bill_seconds')
@@ -171,9 +173,9 @@
         """Serve callers and operators."""
         core = self.core
         core.start()
-        core.directory.listen(self.pool.update)
+        core.directory.listen(self._update_pool)
         core.configuration.listen(self.pool.wake)
-        self.pool.update()
+        self._update_pool()
         self._books.run(core.spawn)
         core.spawn(self._appender.run)
         core.spawn(lambda: self._sampler.run(self._pace(self._rating_seconds)))
@@ -197,7 +199,7 @@
         core.every(SWEEP_SECONDS, self._sweep)
         core.every(CHECK_SECONDS, self._check_rollouts)
         core.every(IDLE_SECONDS, self._give_back)
-        core.every(IDLE_SECONDS, self.pool.update)
+        core.every(IDLE_SECONDS, self._update_pool)
         core.every_paced(
             self._pace(level_items.SHARE_SECONDS), self._levels.share
         )
@@ -319,6 +321,13 @@
         """Return a function of a period that many entries stretch."""
         return lambda: max(seconds, self.parts.entries() * ENTRY_PERIOD_SECONDS)
 
+    def _update_pool(self) -> None:
+        """Follow the offers once a subset of the sidecars has to be chosen."""
+        if self.pool.needs_offers() and not self._follows_offers:
+            self._follows_offers = True
+            self.core.spawn(self._books.offers.run)
+        self.pool.update()
+
     def _find_collectors(self) -> list[LogCalls]:
         """Return the collectors to use; a small fleet needs none."""
         wanted = self._settings.whole(ROLE, 'collect_entries')
--- a/src/toucancourse/daemon/sidecar.py
+++ b/src/toucancourse/daemon/sidecar.py
@@ -15,6 +15,7 @@
 from ..platform.weights import FreeWeightStore, HttpWeightStore
 from ..protocol import peer_pb2, peer_pb2_grpc
 from ..rollout.placement import Placer
+from ..routing.offers import OfferWriter
 from ..settings.files import Settings
 from ..streams.collector import Collector
 from .core import Core
@@ -91,6 +92,9 @@
             self.core.heartbeat,
             settings.number('sidecar', 'linger_ms') / MS,
         )
+        self._offer_writer = OfferWriter(
+            self.core.instance, self.core.log, self._offers
+        )
         self._server = grpc.server(
             ThreadPoolExecutor(MAX_STREAMS, 'stream'),
             options=[('grpc.so_reuseport', 0)],
@@ -106,6 +110,7 @@
             self.core.every(LOAD_SECONDS, self._poll_engine)
             self.core.every(ORDER_SECONDS, self._give_orders)
         self.core.every(TEND_SECONDS, self.servicer.tend_gone)
+        self.core.every(TEND_SECONDS, self._offer_writer.write)
         address = self._settings.text('sidecar', 'peer_address')
         if not self.core.transport.add_port(self._server, address):
             raise OSError(f'address "{address}" is not available')
--- a/src/toucancourse/delivery/pool.py
+++ b/src/toucancourse/delivery/pool.py
@@ -9,6 +9,9 @@
 from ..membership.directory import Directory, rank
 from ..platform.instances import Instance
 from ..routing.endpoints import Outliers, View
+from ..routing.offers import OfferBook
+from ..routing.subset import choose_peers
+from ..streams.follower import Follower
 from .links import Link
 
 MAX_LINK_THREADS: Final = 4000
@@ -26,6 +29,7 @@
         name: str,
         zone: str,
         max_peers: int,
+        offers: Follower[OfferBook],
     ) -> None:
         """Keep the parts; update() opens and closes links."""
         self._directory = directory
@@ -33,6 +37,7 @@
         self._name = name
         self._zone = zone
         self._max_peers = max_peers
+        self._offers = offers
         self._lock = threading.Lock()
         self._links: dict[str, Link] = {}
         self._collectors: tuple[str, ...] = ()
@@ -87,14 +92,12 @@
     def update(self) -> None:
         """Open links to newly listed sidecars, close those no longer listed.
 
-        An unlisted sidecar that still answers is kept: the list lags.
+        An unlisted sidecar that still answers is kept: the list lags. One
+        that is listed but no longer in the subset is let go once idle.
         """
         listed = {row.name: row for row in self._directory.sidecars()}
         self._collectors = self._choose_collectors()
-        chosen = {
-            *rank(self._name, listed)[: self._max_peers],
-            *self._collectors,
-        }
+        chosen = self._choose(tuple(listed))
         with self._lock:
             for name in chosen:
                 old = self._links.get(name)
@@ -108,11 +111,22 @@
                     self._links[name] = link
                     self._workers.submit(link.run)
             for name, link in list(self._links.items()):
-                idle = not link.connected and not link.in_flight()
-                if name not in listed and idle:
+                gone = name not in listed and not link.connected
+                spare = name in listed and name not in chosen
+                if (gone or spare) and not link.in_flight():
                     link.stop()
                     del self._links[name]
 
+    def needs_offers(self) -> bool:
+        """Return True if the sidecars are more than an entry connects to."""
+        return len(self._directory.sidecars()) > self._max_peers
+
+    def _choose(self, listed: tuple[str, ...]) -> set[str]:
+        with self._offers.lock:
+            groups = self._offers.book.group(listed)
+        chosen = choose_peers(self._name, listed, groups, self._max_peers)
+        return chosen | set(self._collectors)
+
     def _choose_collectors(self) -> tuple[str, ...]:
         """Return the zone's collectors; its entries spread over them."""
         names = [
--- a/src/toucancourse/streams/follower.py
+++ b/src/toucancourse/streams/follower.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from ..errors import LogDownError
+from ..errors import DECODE_ERRORS, LogDownError
 from ..platform.log import Entry, Log
 from .codec import Codec, SnapshotItem, encode_items
 
@@ -144,10 +144,17 @@
                 if isinstance(item, SnapshotItem):
                     self._since_snapshot = 0
                 else:
-                    self.book.apply(item)
+                    self._apply(item)
             self._offset = entry.offset + 1
             self.lock.notify_all()
 
+    def _apply(self, item: Any) -> None:
+        """Fold an item; what a damaged one changes is alike for all readers."""
+        try:
+            self.book.apply(item)
+        except DECODE_ERRORS as error:
+            logger.warning('item {} skipped: {}', type(item).__name__, error)
+
     def _start_from_snapshot(self, earliest: int) -> None:
         offset = earliest
         pending: list[Entry] = []
--- /dev/null
+++ b/tests/test_fuzz.py
@@ -0,0 +1,175 @@
+"""Input that nobody should send: nothing raises but the errors that say so."""
+
+import json
+from pathlib import Path
+from typing import Any, get_origin, get_type_hints
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from toucancourse.billing import claims, spend
+from toucancourse.contract.fold import fold_entry
+from toucancourse.contract.state import State
+from toucancourse.delivery.attempts import Attempt
+from toucancourse.errors import CourseError
+from toucancourse.platform.log import Entry
+from toucancourse.protocol import peer_pb2
+from toucancourse.report import levels
+from toucancourse.routing import offers, quality
+from toucancourse.settings.files import SettingsError, read_settings
+from toucancourse.settings.schema import SCHEMA
+from toucancourse.streams.codec import FORMAT
+from toucancourse.streams.follower import Follower
+
+from .test_collector import MemoryLog
+
+ITEMS: dict[str, tuple[Any, ...]] = {
+    'claims': (claims.Claim, claims.ClaimEnd, claims.Pin),
+    'spend': (
+        spend.BillBatch,
+        spend.AdoptedBill,
+        spend.Reserve,
+        spend.Release,
+        spend.Retire,
+    ),
+    'levels': (levels.Counts,),
+    'quality': (quality.Ratings,),
+    'offers': (offers.Offer,),
+}
+BOOKS: dict[str, tuple[Any, Any]] = {
+    'claims': (claims.CODEC, claims.ClaimBook),
+    'spend': (spend.CODEC, spend.SpendBook),
+    'levels': (levels.CODEC, levels.LevelBook),
+    'quality': (quality.CODEC, quality.QualityBook),
+    'offers': (offers.CODEC, offers.OfferBook),
+}
+
+words = st.sampled_from(('', 'a', 'b', '1-2', '3', '1-999999999999', 'not_run'))
+numbers = st.integers(-5, 5) | st.integers() | st.floats()
+leaves = words | numbers | st.booleans() | st.none() | st.text(max_size=5)
+values = st.recursive(
+    leaves, lambda inner: st.lists(inner, max_size=8), max_leaves=12
+)
+rows = st.lists(st.lists(leaves, min_size=0, max_size=9), max_size=3)
+FIELDS = {str: words, int: st.integers(-3, 9), float: numbers, list: rows}
+
+
+def make_items(stream: str) -> st.SearchStrategy[list[Any]]:
+    """Return rows of items whose fields mostly have the right types."""
+
+    def make_row(known: Any) -> st.SearchStrategy[list[Any]]:
+        hints = get_type_hints(known).values()
+        fields = [
+            st.one_of(FIELDS[get_origin(hint) or hint], leaves)
+            for hint in hints
+        ]
+        return st.tuples(st.just(known.__name__), *fields).map(list)
+
+    good = [make_row(known) for known in ITEMS[stream]]
+    return st.lists(st.one_of(*good, values), max_size=6)
+
+
+class TestStreams:
+    """Damaged records stop no reader, and all readers fold them alike."""
+
+    @pytest.mark.parametrize('stream', sorted(BOOKS))
+    @given(data=st.data())
+    def test_any_items(self, stream: str, data: st.DataObject) -> None:
+        """Two readers end with the same book, which has a dump."""
+        log = MemoryLog()
+        for body in data.draw(st.lists(make_items(stream), max_size=4)):
+            log.append(stream, json.dumps([FORMAT, body]))
+        codec, book = BOOKS[stream]
+        followers = [
+            Follower(log, stream, codec, book(), 1.0) for _ in range(2)
+        ]
+        for follower in followers:
+            follower.sync(len(log.records), 1)
+        dumps = [json.dumps(row.book.dump()) for row in followers]
+        assert dumps[0] == dumps[1]
+        book().load(json.loads(dumps[0]))
+
+    @given(bodies=st.lists(st.text() | values.map(json.dumps), max_size=4))
+    def test_any_text(self, bodies: list[str]) -> None:
+        """Records that are no records are passed over."""
+        log = MemoryLog()
+        log.records = bodies
+        follower = Follower(log, 'claims', claims.CODEC, claims.ClaimBook(), 1)
+        follower.sync(len(bodies), 1)
+        assert follower.offset == len(bodies)
+        assert not len(follower.book)
+
+    def test_bad_item_between_good_ones(self) -> None:
+        """It spoils none of the others that a collector merged it with."""
+        good = ['Retire', 'a']
+        bad = ['Reserve', 'a', 'one', 'c', 'day', 1, 1, 1]
+        items = spend.CODEC.decode(json.dumps([FORMAT, [good, bad, good]]))
+        assert items == (spend.Retire('a'), spend.Retire('a'))
+
+
+class TestConfiguration:
+    """Records of the configuration stream."""
+
+    @given(body=st.text() | values.map(json.dumps))
+    def test_any_text(self, body: str) -> None:
+        """The offset moves on, the objects stay."""
+        folded = fold_entry(State(), Entry(0, body))
+        assert folded.state.offset == 1
+        assert folded.verdict.code != 'accepted'
+
+
+class TestSettings:
+    """Settings files."""
+
+    @given(
+        rows=st.lists(
+            st.tuples(
+                st.sampled_from((*SCHEMA, 'other')),
+                st.sampled_from(
+                    [key for section in SCHEMA.values() for key in section]
+                ),
+                st.text(max_size=12) | words,
+            ),
+            max_size=12,
+        )
+    )
+    def test_any_keys(
+        self,
+        tmp_path_factory: pytest.TempPathFactory,
+        rows: list[tuple[str, str, str]],
+    ) -> None:
+        """Such a file is refused with one line."""
+        path: Path = tmp_path_factory.mktemp('fuzz') / 'any.ini'
+        lines = [f'[{name}]\n{key} = {text}\n' for name, key, text in rows]
+        path.write_text(''.join(lines), encoding='utf-8', errors='replace')
+        with pytest.raises(SettingsError) as raised:
+            read_settings(str(path))
+        assert '\n' not in raised.value.text
+
+
+class TestFrames:
+    """Frames of one attempt in any order, repeated or missing."""
+
+    @given(
+        order=st.lists(st.integers(0, 4), max_size=12), count=st.integers(0, 6)
+    )
+    def test_any_order(self, order: list[int], count: int) -> None:
+        """The caller gets a beginning of the answer, whole or with an error."""
+        attempt = Attempt(peer_pb2.Open())
+        written: list[bytes] = []
+        attempt.write_to(written.append)
+        for number in order:
+            frame = peer_pb2.Frame(seq=number, data=b'%d' % number)
+            if number == 4:
+                frame.end.frames = count
+                frame.end.outcome = 'done'
+            attempt.deliver([frame])
+        text = b''.join(written)
+        assert b'01234'.startswith(text)
+        try:
+            attempt.check()
+        except CourseError:
+            return
+        assert text == b'01234'
+        assert count == 5
