Let idle streams sleep, tell offsets together, never retire a live entry

Cause: an idle entry's CPU grew by 0.12% a peer: gRPC wakes each thread that waits for a message ten times a second.

Change: gRPC's wait is lengthened (a private constant of the pinned version; a version without it keeps its own). Offsets that change within 50 ms are told in one message. Allowances return only if neither peers nor the log heard of their holder while the log was read; an entry that was retired says that it is not ready.

--- a/src/toucancourse/billing/ledger.py
+++ b/src/toucancourse/billing/ledger.py
@@ -4,7 +4,7 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from datetime import UTC, datetime
 from typing import Final, NamedTuple
 
@@ -393,8 +393,3 @@
         usage.completion_tokens,
         cost,
     )
-
-
-def find_gone(holders: Iterable[str], live: set[str]) -> set[str]:
-    """Return the holders of allowances that are not live."""
-    return set(holders) - live
--- a/src/toucancourse/billing/spend.py
+++ b/src/toucancourse/billing/spend.py
@@ -113,6 +113,11 @@
         """Return the number of an entry's last folded BillBatch."""
         return self._batches.get(incarnation, 0)
 
+    def find_mark(self, incarnation: str) -> tuple[int, int]:
+        """Return numbers that grow with each item of an entry."""
+        last, _ = self._answers.get(incarnation, (0, False))
+        return self.last_batch(incarnation), last
+
     def billed(self, customer: str, day: str) -> int:
         """Return the cost billed to a customer on a day."""
         return self._billed.get((customer, day), 0)
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -1,10 +1,9 @@
 """The entry role: callers' requests and the administration API."""
 
 import secrets
-import threading
 import time
 import uuid
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from typing import Final
 
 from loguru import logger
@@ -13,21 +12,19 @@
 from ..admin.routes import AdminHandler
 from ..admission.limits import ContractLimits, RetryBudget
 from ..billing import claims as claim_items
-from ..billing.ledger import Ledger, find_gone
+from ..billing.absence import AbsenceWatch
+from ..billing.ledger import Ledger
 from ..contract.records import Change
-from ..delivery.callers import authenticate
 from ..delivery.chat import ChatHandler
 from ..delivery.entry import Decisions, EntryParts
-from ..delivery.exchange import PATH as CHAT_PATH
 from ..delivery.keyed import Claims
 from ..delivery.links import Link
 from ..delivery.logcalls import LogCalls
 from ..delivery.pins import Pins
 from ..delivery.pool import Pool
 from ..delivery.ratings import RatingSampler
-from ..delivery.services import PREFIX as SERVICE_PREFIX
 from ..delivery.services import ServiceHandler
-from ..errors import CourseError, LeavingError, LogDownError, NotFoundError
+from ..errors import LogDownError
 from ..platform.instances import Instance
 from ..platform.rater import HttpRater
 from ..protocol import peer_pb2
@@ -40,18 +37,10 @@
 from ..settings.files import Settings
 from ..streams.appender import Appender
 from ..streams.collected import CollectedLog
-from ..web.messages import (
-    Environ,
-    Request,
-    StartResponse,
-    make_error,
-    make_json,
-    read_request,
-    send,
-)
 from ..web.server import Bounds, Server
 from .books import Books
 from .core import Core
+from .front import CallerFront
 
 #: Section of the settings that the entry reads.
 ROLE: Final = 'entry'
@@ -78,11 +67,7 @@
         core = Core(settings)
         self.core = core
         self._settings = settings
-        self._in_flight = 0
-        self._refuse = False
         self._follows_offers = False
-        self._count = threading.Lock()
-        self._absent: dict[str, float] = {}
         self._log = CollectedLog(core.log, self._find_collectors, core.timeout)
         self._books = Books(
             self._log, settings.number('configuration', 'poll_seconds')
@@ -98,9 +83,13 @@
         self._levels = LevelRecorder(core.incarnation, self._log)
         self._bill_seconds = settings.number(ROLE, 'bill_seconds')
         self._rating_seconds = settings.number(ROLE, 'rating_seconds')
-        self._hold_seconds = settings.number(ROLE, 'allowance_hold_seconds')
+        hold_seconds = settings.number(ROLE, 'allowance_hold_seconds')
         self.ledger = Ledger(
-            core.incarnation, self._log, self._books.spend, self._hold_seconds
+            core.incarnation, self._log, self._books.spend, hold_seconds
+        )
+        # A holder itself stops spending after half of this silence.
+        self._absence = AbsenceWatch(
+            core.incarnation, self.ledger, self._books.spend, hold_seconds * 2
         )
         self._appender = Appender(
             self._log,
@@ -136,17 +125,20 @@
         )
         metrics = ChatMetrics()
         pins = Pins(self._appender, self._books.claims)
-        self._chat = ChatHandler(
-            self.parts, pins, self._sampler, metrics, self._levels
+        max_body = settings.whole(ROLE, 'max_body_bytes')
+        self._front = CallerFront(
+            core.configuration,
+            core.health,
+            ChatHandler(self.parts, pins, self._sampler, metrics, self._levels),
+            ServiceHandler(self.parts, self.claims, metrics),
+            max_body,
         )
-        self._services = ServiceHandler(self.parts, self.claims, metrics)
-        self._max_body = settings.whole(ROLE, 'max_body_bytes')
         self._caller_server = Server(
-            self.answer_caller,
+            self._front,
             settings.text(ROLE, 'caller_address'),
             Bounds(
                 settings.whole(ROLE, 'threads'),
-                self._max_body,
+                max_body,
                 settings.whole(ROLE, 'idle_caller_seconds'),
             ),
         )
@@ -204,26 +196,6 @@
             self._pace(level_items.SHARE_SECONDS), self._levels.share
         )
 
-    def answer_caller(
-        self,
-        environ: Environ,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        """Answer one WSGI request of a caller."""
-        health = self.core.health.answer(environ.get('PATH_INFO', ''))
-        if health is not None:
-            return send(health, start_response)
-        with self._count:
-            self._in_flight += 1
-        try:
-            request = read_request(environ, self._max_body)
-            return self._route(request, start_response)
-        except CourseError as error:
-            return send(make_error(error), start_response)
-        finally:
-            with self._count:
-                self._in_flight -= 1
-
     def drain(self) -> None:
         """Refuse new work, finish what runs, bill it, give back, stop."""
         core = self.core
@@ -234,12 +206,10 @@
         # The balancer needs a moment to see /readyz fail; callers that it
         # still sends meanwhile are served.
         time.sleep(core.settings.number('daemon', 'drain_notice_seconds'))
-        self._refuse = True
         limit = time.monotonic() + core.settings.number(
             'daemon', 'drain_seconds'
         )
-        while self._in_flight and time.monotonic() < limit:
-            time.sleep(STEP_SECONDS)
+        self._front.drain(limit)
         self._caller_server.stop_accepting()
         self.ledger.stop()
         while time.monotonic() < limit:
@@ -260,42 +230,6 @@
         core.close()
         logger.info('entry stopped')
 
-    def _route(
-        self,
-        request: Request,
-        start_response: StartResponse,
-    ) -> Iterable[bytes]:
-        if self._refuse:
-            raise LeavingError('this entry is leaving; try another one')
-        if request.path == CHAT_PATH and request.method == 'POST':
-            return self._chat.serve(request, start_response)
-        if request.path.startswith(SERVICE_PREFIX):
-            return self._services.serve(request, start_response)
-        if request.path == '/v1/models' and request.method == 'GET':
-            return send(make_json(self._list_models(request)), start_response)
-        raise NotFoundError(
-            f'path "{request.path}" with method "{request.method}" '
-            'does not exist',
-        )
-
-    def _list_models(self, request: Request) -> dict[str, object]:
-        state = self.core.configuration.state
-        caller = authenticate(state, request.bearer())
-        versions = state.usable(caller.customer)
-        models = sorted({version.partition('@')[0] for version in versions})
-        return {
-            'object': 'list',
-            'data': [
-                {
-                    'id': name,
-                    'object': 'model',
-                    'created': 0,
-                    'owned_by': 'toucancourse',
-                }
-                for name in ('auto', *models, *versions)
-            ],
-        }
-
     def _make_link(self, instance: Instance) -> Link:
         hello = peer_pb2.Hello(
             version=PROTOCOL_VERSION,
@@ -354,6 +288,8 @@
             return 'no endpoint is connected'
         if not self.core.configuration.state.keys():
             return 'no key signs conversation ids yet'
+        if self._absence.is_retired():
+            return 'others returned its allowances; it has to be replaced'
         return ''
 
     def _sweep(self) -> None:
@@ -393,18 +329,7 @@
 
     def _retire_gone(self) -> None:
         """Return what entries hold that nobody has heard of for long."""
-        with self._books.spend.lock:
-            holders = self._books.spend.book.holders()
-        live = {self.core.incarnation}
+        live: set[str] = set()
         for link in self.pool.links():
             live.update(link.roster.incarnations)
-        gone = find_gone(holders, live)
-        now = time.monotonic()
-        self._absent = {name: self._absent.get(name, now) for name in gone}
-        for name, since in self._absent.items():
-            # Twice the time after which the holder itself stops spending.
-            if now - since > self._hold_seconds * 2:
-                try:
-                    self.ledger.retire(name)
-                except LogDownError as error:
-                    logger.warning('allowances not returned: {}', error)
+        self._absence.check(live)
--- /dev/null
+++ b/src/toucancourse/daemon/front.py
@@ -0,0 +1,111 @@
+"""The HTTP side of an entry towards callers."""
+
+import threading
+import time
+from collections.abc import Iterable
+from typing import Final
+
+from ..delivery.callers import authenticate
+from ..delivery.chat import ChatHandler
+from ..delivery.exchange import PATH as CHAT_PATH
+from ..delivery.services import PREFIX as SERVICE_PREFIX
+from ..delivery.services import ServiceHandler
+from ..errors import CourseError, LeavingError, NotFoundError
+from ..membership.configuration import Configuration
+from ..web.health import Health
+from ..web.messages import (
+    Environ,
+    Request,
+    StartResponse,
+    make_error,
+    make_json,
+    read_request,
+    send,
+)
+
+STEP_SECONDS: Final = 0.02
+MODELS_PATH: Final = '/v1/models'
+
+
+class CallerFront:
+    """Routes callers' requests and counts those in flight."""
+
+    def __init__(
+        self,
+        configuration: Configuration,
+        health: Health,
+        chat: ChatHandler,
+        services: ServiceHandler,
+        max_body_bytes: int,
+    ) -> None:
+        """Keep the parts."""
+        self._configuration = configuration
+        self._health = health
+        self._chat = chat
+        self._services = services
+        self._max_body = max_body_bytes
+        self._lock = threading.Lock()
+        self._in_flight = 0
+        self._refuse = False
+
+    def __call__(
+        self,
+        environ: Environ,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        """Answer one WSGI request."""
+        health = self._health.answer(environ.get('PATH_INFO', ''))
+        if health is not None:
+            return send(health, start_response)
+        with self._lock:
+            self._in_flight += 1
+        try:
+            request = read_request(environ, self._max_body)
+            return self._route(request, start_response)
+        except CourseError as error:
+            return send(make_error(error), start_response)
+        finally:
+            with self._lock:
+                self._in_flight -= 1
+
+    def drain(self, limit: float) -> None:
+        """Refuse new requests; wait for the others until time.monotonic()."""
+        self._refuse = True
+        while self._in_flight and time.monotonic() < limit:
+            time.sleep(STEP_SECONDS)
+
+    def _route(
+        self,
+        request: Request,
+        start_response: StartResponse,
+    ) -> Iterable[bytes]:
+        if self._refuse:
+            raise LeavingError('this entry is leaving; try another one')
+        if request.path == CHAT_PATH and request.method == 'POST':
+            return self._chat.serve(request, start_response)
+        if request.path.startswith(SERVICE_PREFIX):
+            return self._services.serve(request, start_response)
+        if request.path == MODELS_PATH and request.method == 'GET':
+            return send(make_json(self._list_models(request)), start_response)
+        raise NotFoundError(
+            f'path "{request.path}" with method "{request.method}" '
+            'does not exist',
+        )
+
+    def _list_models(self, request: Request) -> dict[str, object]:
+        state = self._configuration.state
+        caller = authenticate(state, request.bearer())
+        versions = state.usable(caller.customer)
+        models = sorted({version.partition('@')[0] for version in versions})
+        return {
+            'object': 'list',
+            'data': [
+                {
+                    'id': name,
+                    'object': 'model',
+                    'created': 0,
+                    'owned_by': 'toucancourse',
+                }
+                for name in ('auto', *models, *versions)
+            ],
+        }
--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -8,7 +8,7 @@
 
 from loguru import logger
 
-from ..protocol.transports import CertificateError
+from ..protocol.transports import CertificateError, relax_waits
 from ..settings.files import Settings, SettingsError, read_settings
 from .entry import Entry
 from .logs import set_up_logs
@@ -49,6 +49,7 @@
     """Serve until SIGTERM or SIGINT; return the exit code."""
     set_up_logs(settings)
     raise_descriptor_limit()
+    relax_waits()
     asked = threading.Event()
     signal.signal(signal.SIGTERM, lambda *_: asked.set())
     signal.signal(signal.SIGINT, lambda *_: asked.set())
--- a/src/toucancourse/daemon/sidecar.py
+++ b/src/toucancourse/daemon/sidecar.py
@@ -109,6 +109,7 @@
             self._poll_engine()
             self.core.every(LOAD_SECONDS, self._poll_engine)
             self.core.every(ORDER_SECONDS, self._give_orders)
+        self.core.spawn(self.servicer.tell_roster)
         self.core.every(TEND_SECONDS, self.servicer.tend_gone)
         self.core.every(TEND_SECONDS, self._offer_writer.write)
         address = self._settings.text('sidecar', 'peer_address')
--- a/src/toucancourse/delivery/peers.py
+++ b/src/toucancourse/delivery/peers.py
@@ -21,6 +21,8 @@
 
 #: How long an entry may be gone before its work is cancelled.
 REATTACH_SECONDS: Final = 5.0
+#: Offsets of entries that change within this time are told at once.
+ROSTER_SECONDS: Final = 0.05
 #: Threads for attempts that are being refused.
 SPARE_WORKERS: Final = 16
 
@@ -72,6 +74,8 @@
         #: Incarnation -> instance and offset of each connected entry.
         self._entries: dict[str, tuple[str, int]] = {}
         self._gone: dict[str, float] = {}
+        self._roster_changed = threading.Event()
+        self._closed = False
         self._workers = ThreadPoolExecutor(
             identity.slots * 2 + SPARE_WORKERS, 'attempt'
         )
@@ -111,6 +115,19 @@
         for batch in outbox.batches(gossip.find_period):
             yield self._compose(batch, gossip, told)
 
+    def tell_roster(self) -> None:
+        """Tell entries of each other's offsets until close() is called.
+
+        A change of the configuration reaches all entries at nearly the same
+        time; telling each offset by itself would cost as many messages as
+        there are pairs of entries.
+        """
+        while not self._closed:
+            self._roster_changed.wait()
+            time.sleep(ROSTER_SECONDS)
+            self._roster_changed.clear()
+            self.wake()
+
     def wake(self) -> None:
         """Send every entry a message now."""
         for outbox in list(self._streams.values()):
@@ -118,6 +135,8 @@
 
     def close(self) -> None:
         """End all streams after what is queued."""
+        self._closed = True
+        self._roster_changed.set()
         for outbox in list(self._streams.values()):
             outbox.close()
         self._workers.shutdown(wait=True)
@@ -230,7 +249,7 @@
         row = (gossip.instance, offset)
         if self._entries.get(incarnation) != row:
             self._entries[incarnation] = row
-            self.wake()
+            self._roster_changed.set()
 
     def _open(
         self,
--- a/src/toucancourse/protocol/transports.py
+++ b/src/toucancourse/protocol/transports.py
@@ -20,6 +20,10 @@
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
     ('grpc.use_local_subchannel_pool', 1),
 )
+#: Longest sleep of a thread of gRPC that waits for a message. Messages end it
+#: at once; gRPC's own 0.1 s lets a main thread see signals, which here never
+#: waits for a stream.
+WAIT_SECONDS: Final = 10.0
 #: Names of a peer's certificate in gRPC's authentication context.
 _NAMES_KEY: Final = 'x509_subject_alternative_name'
 
@@ -145,6 +149,16 @@
         return texts
 
 
+def relax_waits() -> None:
+    """Let idle streams sleep: each wakes its thread ten times a second else.
+
+    gRPC has no option for it; a version without the constant keeps its own.
+    """
+    common: Any = getattr(grpc, '_common', None)
+    if hasattr(common, 'MAXIMUM_WAIT_TIMEOUT'):
+        common.MAXIMUM_WAIT_TIMEOUT = WAIT_SECONDS
+
+
 def make_name(instance: str, role: str) -> str:
     """Return the DNS name that a daemon's certificate holds."""
     return f'{instance}.{role}.{DOMAIN}'
--- a/src/toucancourse/streams/follower.py
+++ b/src/toucancourse/streams/follower.py
@@ -91,8 +91,7 @@
 
         Raises LogDownError.
         """
-        end = self._log.read(self._stream, self._offset, 1).end
-        self.sync(end, MAX_BACKOFF_SECONDS)
+        self.sync(self._read(0), MAX_BACKOFF_SECONDS)
 
     def wait(self, check: Callable[[], bool], timeout: float) -> bool:
         """Return True once a check of the book holds."""
@@ -123,7 +122,8 @@
             item = SnapshotItem(self._offset, self.book.dump())
         self._log.append(self._stream, encode_items([item]))
 
-    def _read(self, wait_seconds: float) -> None:
+    def _read(self, wait_seconds: float) -> int:
+        """Fold a page of records; return the end of the stream."""
         start = self._offset
         began = time.monotonic()
         # A long poll does not hold the lock, so sync() is never delayed by it.
@@ -132,10 +132,11 @@
         with self._reading:
             if page.earliest > self._offset and self._offset == start:
                 self._start_from_snapshot(page.earliest)
-                return
+                return page.end
             for entry in page.entries:
                 if entry.offset == self._offset:
                     self._fold(entry)
+        return page.end
 
     def _fold(self, entry: Entry) -> None:
         with self.lock:
