Show on the capacity page which daemons read the log

Cause: idle reads were laid to the entries' streams. Daemons whose proof is older than 0.4 of stale_seconds read the configuration for themselves, and with many peers proof comes seldom. Ruled out: the small streams, which 8 entries read through collectors.

Change: make capacity fits and prints that line and says what it trades.

--- a/bench/capacity.py
+++ b/bench/capacity.py
@@ -245,6 +245,7 @@
     entry_bytes = fit_line([(row.peers(), row.entry_bytes) for row in paced])
     side_bytes = fit_line([(row.entries, row.sidecar_bytes) for row in points])
     slowest = max(row.change_max for row in points)
+    reads = fit_line([(row.sidecars, row.log_reads) for row in points])
     graph = measure_subset(MAX_PEERS)
     subset = round(graph.peers)
     bills = Records(*measure_bills(40))
@@ -402,6 +403,10 @@
         f'| entry | claims received, bytes/s | {claim_bytes:.0f} a keyed call '
         f'| {claims_in:.0f} at {KEYED_SHARE:.0%} keyed | {BYTES_A_SECOND} '
         f'| {mark(claims_in, BYTES_A_SECOND)} | every entry folds all claims |',
+        f'| log | reads/s of idle daemons | {reads.base:.1f} and '
+        f'{reads.slope:.2f} for each sidecar | {reads.at(REPLICAS):.0f} '
+        '| none stated | | two readers a zone; a daemon whose proof is older '
+        'than 0.4 of `stale_seconds` reads for itself |',
         f'| log | configuration appends/s | one a change '
         f'| {changes:.3f} | {LOG_APPENDS} | {mark(changes, LOG_APPENDS)} '
         '| compare-and-set in the fold, no lease to renew |',
@@ -429,8 +434,11 @@
 - **Control bytes.** What an entry receives of bills, ratings and counts adds
   to its statuses. A longer `PEER_PERIOD_SECONDS` buys bytes with later news
   of load.
-- **Reads.** With collectors they grow with the zones, not with the entries:
-  see [design/collectors.md](design/collectors.md).
+- **Reads.** Those of the small streams grow with the zones, not with the
+  entries ([design/collectors.md](design/collectors.md)). Those of the
+  configuration grow with the sidecars: with many peers each status comes
+  seldom, so proof that came over several of them is old. A longer
+  `stale_seconds` saves reads and lengthens what an isolated pair may do.
 - **Confirmation.** An entry knows the offsets of the sidecars that it has a
   stream to. With a subset of sidecars the tool names the rest as not
   confirmed; they would have to be asked through other entries.
