Name the package of outside services interfaces

Cause: the name platform is wanted for the adapter to the users' platform. Change: move the base classes and their HTTP adapters; no behaviour changes. Measured: linter and import contract pass.

--- a/src/toucancourse/admin/changes.py
+++ b/src/toucancourse/admin/changes.py
@@ -7,9 +7,9 @@
 from ..contract.fold import ACCEPTED, DUPLICATE, Verdict, judge_change
 from ..contract.records import STREAM, Change, encode_record
 from ..errors import CourseError, LogDownError, Outcome
+from ..interfaces.log import Log
 from ..membership.configuration import Configuration
 from ..membership.reader import LogReader
-from ..platform.log import Log
 
 RETRY_SECONDS: Final = 0.2
 VERDICT_STEP_SECONDS: Final = 0.5
--- a/src/toucancourse/billing/ledger.py
+++ b/src/toucancourse/billing/ledger.py
@@ -12,7 +12,7 @@
 
 from ..contract.objects import ContractBody, VersionBody
 from ..errors import LogDownError, SpendError
-from ..platform.log import Log
+from ..interfaces.log import Log
 from ..protocol import peer_pb2
 from ..streams.codec import encode_items
 from ..streams.follower import Follower
--- a/src/toucancourse/contract/fold.py
+++ b/src/toucancourse/contract/fold.py
@@ -7,7 +7,7 @@
 from collections.abc import Iterator
 from typing import Any, Final, NamedTuple, cast
 
-from ..platform.log import Entry
+from ..interfaces.log import Entry
 from .objects import (
     NAME_PATTERN,
     WILDCARD,
--- a/src/toucancourse/contract/snapshots.py
+++ b/src/toucancourse/contract/snapshots.py
@@ -4,7 +4,7 @@
 from typing import Final
 
 from ..errors import DECODE_ERRORS
-from ..platform.log import Entry
+from ..interfaces.log import Entry
 from .fold import fold_entry
 from .records import Snapshot, decode_record
 from .state import State, dump_state, load_state
--- a/src/toucancourse/daemon/books.py
+++ b/src/toucancourse/daemon/books.py
@@ -12,7 +12,7 @@
 from ..billing.spend import STREAM as SPEND_STREAM
 from ..billing.spend import SpendBook
 from ..errors import LogDownError
-from ..platform.log import Log
+from ..interfaces.log import Log
 from ..report.levels import CODEC as LEVEL_CODEC
 from ..report.levels import STREAM as LEVEL_STREAM
 from ..report.levels import LevelBook
--- a/src/toucancourse/daemon/core.py
+++ b/src/toucancourse/daemon/core.py
@@ -13,13 +13,13 @@
 from ..contract.records import STREAM, encode_record
 from ..contract.snapshots import take_snapshot
 from ..errors import LogDownError
+from ..interfaces.instances import HttpInstanceList
+from ..interfaces.log import HttpLog, Log
 from ..membership.configuration import Configuration
 from ..membership.directory import Directory
 from ..membership.freshness import Freshness
 from ..membership.gossip import Gossip
 from ..membership.reader import LogReader
-from ..platform.instances import HttpInstanceList
-from ..platform.log import HttpLog, Log
 from ..protocol.transports import (
     KeyFiles,
     PlainTransport,
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -25,8 +25,8 @@
 from ..delivery.ratings import RatingSampler
 from ..delivery.services import ServiceHandler
 from ..errors import LogDownError
-from ..platform.instances import Instance
-from ..platform.rater import HttpRater
+from ..interfaces.instances import Instance
+from ..interfaces.rater import HttpRater
 from ..protocol import peer_pb2
 from ..protocol.versions import PROTOCOL_VERSION
 from ..report import levels as level_items
--- a/src/toucancourse/daemon/sidecar.py
+++ b/src/toucancourse/daemon/sidecar.py
@@ -11,8 +11,8 @@
 from ..admission.window import Window
 from ..delivery.dispatch import Dispatcher, Limits
 from ..delivery.peers import Identity, PeerServicer
-from ..platform.engine import HttpEngine, LoadReport
-from ..platform.weights import FreeWeightStore, HttpWeightStore
+from ..interfaces.engine import HttpEngine, LoadReport
+from ..interfaces.weights import FreeWeightStore, HttpWeightStore
 from ..protocol import peer_pb2, peer_pb2_grpc
 from ..rollout.placement import Placer
 from ..routing.offers import OfferWriter
--- a/src/toucancourse/delivery/links.py
+++ b/src/toucancourse/delivery/links.py
@@ -11,9 +11,9 @@
 from loguru import logger
 
 from ..errors import UnavailableError, UnknownOutcomeError
+from ..interfaces.instances import Instance
 from ..membership.gossip import Gossip
 from ..membership.roster import Roster
-from ..platform.instances import Instance
 from ..protocol import peer_pb2, peer_pb2_grpc
 from ..protocol.outbox import Outbox
 from ..protocol.transports import Transport
--- a/src/toucancourse/delivery/pool.py
+++ b/src/toucancourse/delivery/pool.py
@@ -6,8 +6,8 @@
 from typing import Final
 
 from ..contract.state import State
+from ..interfaces.instances import Instance
 from ..membership.directory import Directory, rank
-from ..platform.instances import Instance
 from ..routing.endpoints import Outliers, View
 from ..routing.offers import OfferBook
 from ..routing.subset import choose_peers
--- a/src/toucancourse/delivery/ratings.py
+++ b/src/toucancourse/delivery/ratings.py
@@ -9,8 +9,8 @@
 from loguru import logger
 
 from ..errors import DECODE_ERRORS, CourseError, LogDownError
-from ..platform.log import Log
-from ..platform.rater import Rater
+from ..interfaces.log import Log
+from ..interfaces.rater import Rater
 from ..routing.quality import STREAM, QualityBook, Ratings
 from ..streams.codec import encode_items
 from ..streams.follower import Follower
--- /dev/null
+++ b/src/toucancourse/interfaces/__init__.py
@@ -0,0 +1,1 @@
+"""Outside services behind abstract base classes."""
--- a/src/toucancourse/membership/configuration.py
+++ b/src/toucancourse/membership/configuration.py
@@ -11,7 +11,7 @@
 from ..contract.records import Snapshot, decode_record
 from ..contract.snapshots import open_snapshot
 from ..contract.state import State
-from ..platform.log import Entry
+from ..interfaces.log import Entry
 
 #: Raw records kept to bring peers up to date.
 RECENT_RECORDS: Final = 2000
--- a/src/toucancourse/membership/directory.py
+++ b/src/toucancourse/membership/directory.py
@@ -7,7 +7,7 @@
 from loguru import logger
 
 from ..errors import CourseError
-from ..platform.instances import Instance, InstanceList
+from ..interfaces.instances import Instance, InstanceList
 from .freshness import Freshness
 
 
--- a/src/toucancourse/membership/gossip.py
+++ b/src/toucancourse/membership/gossip.py
@@ -7,7 +7,7 @@
 from ..contract.records import encode_record
 from ..contract.snapshots import take_snapshot
 from ..contract.state import State
-from ..platform.log import Entry
+from ..interfaces.log import Entry
 from ..protocol import peer_pb2
 from .configuration import Configuration
 from .freshness import Freshness
--- a/src/toucancourse/membership/reader.py
+++ b/src/toucancourse/membership/reader.py
@@ -12,7 +12,7 @@
 from ..contract.snapshots import Starter
 from ..contract.state import State
 from ..errors import LogDownError
-from ..platform.log import Log
+from ..interfaces.log import Log
 from .configuration import Configuration
 from .freshness import Freshness
 
--- a/src/toucancourse/platform/__init__.py
+++ /dev/null
@@ -1,1 +0,0 @@
-"""The platform's services behind abstract base classes."""
--- a/src/toucancourse/report/levels.py
+++ b/src/toucancourse/report/levels.py
@@ -10,7 +10,7 @@
 from loguru import logger
 
 from ..errors import LogDownError
-from ..platform.log import Log
+from ..interfaces.log import Log
 from ..streams.codec import Codec, encode_items
 from ..streams.follower import Book
 
--- a/src/toucancourse/rollout/placement.py
+++ b/src/toucancourse/rollout/placement.py
@@ -12,9 +12,9 @@
 
 from ..contract.state import State
 from ..errors import CourseError
-from ..platform.calls import PlatformRefusedError
-from ..platform.engine import Engine
-from ..platform.weights import WeightStore
+from ..interfaces.calls import PlatformRefusedError
+from ..interfaces.engine import Engine
+from ..interfaces.weights import WeightStore
 
 
 class Order(NamedTuple):
--- a/src/toucancourse/streams/appender.py
+++ b/src/toucancourse/streams/appender.py
@@ -7,7 +7,7 @@
 from typing import Any, Final
 
 from ..errors import LogDownError
-from ..platform.log import Log
+from ..interfaces.log import Log
 from ..protocol.outbox import Outbox
 from .codec import encode_items
 
--- a/src/toucancourse/streams/collected.py
+++ b/src/toucancourse/streams/collected.py
@@ -7,7 +7,7 @@
 from typing import Final
 
 from ..errors import LogDownError
-from ..platform.log import Entry, Log, Page
+from ..interfaces.log import Entry, Log, Page
 from ..protocol import peer_pb2
 
 MS: Final = 1000
--- a/src/toucancourse/streams/collector.py
+++ b/src/toucancourse/streams/collector.py
@@ -7,7 +7,7 @@
 
 from loguru import logger
 
-from ..platform.log import Log
+from ..interfaces.log import Log
 from ..protocol import peer_pb2
 from .appender import Appender
 from .codec import is_record, merge_records
--- a/src/toucancourse/streams/follower.py
+++ b/src/toucancourse/streams/follower.py
@@ -9,7 +9,7 @@
 from loguru import logger
 
 from ..errors import DECODE_ERRORS, LogDownError
-from ..platform.log import Entry, Log
+from ..interfaces.log import Entry, Log
 from .codec import Codec, SnapshotItem, encode_items
 
 PAGE_RECORDS: Final = 1000
--- a/tests/test_collector.py
+++ b/tests/test_collector.py
@@ -12,7 +12,7 @@
 from toucancourse.billing.claims import Claim, ClaimBook, ClaimEnd
 from toucancourse.delivery.logcalls import LogCalls
 from toucancourse.errors import LogDownError
-from toucancourse.platform.log import Entry, Log, Page
+from toucancourse.interfaces.log import Entry, Log, Page
 from toucancourse.protocol import peer_pb2
 from toucancourse.streams.codec import Codec, encode_items, merge_records
 from toucancourse.streams.collected import (
--- a/tests/test_fold.py
+++ b/tests/test_fold.py
@@ -28,8 +28,8 @@
     take_snapshot,
 )
 from toucancourse.contract.state import State, dump_state
+from toucancourse.interfaces.log import Entry
 from toucancourse.membership.configuration import Configuration
-from toucancourse.platform.log import Entry
 
 NAMES = ('zone/a', 'zone/b', 'instance/i')
 VERSION = {
--- a/tests/test_fuzz.py
+++ b/tests/test_fuzz.py
@@ -13,7 +13,7 @@
 from toucancourse.contract.state import State
 from toucancourse.delivery.attempts import Attempt
 from toucancourse.errors import CourseError
-from toucancourse.platform.log import Entry
+from toucancourse.interfaces.log import Entry
 from toucancourse.protocol import peer_pb2
 from toucancourse.report import levels
 from toucancourse.routing import offers, quality
--- a/tests/test_protocol.py
+++ b/tests/test_protocol.py
@@ -13,10 +13,10 @@
 from toucancourse.delivery.attempts import Attempt
 from toucancourse.delivery.links import Link
 from toucancourse.errors import EndpointError
+from toucancourse.interfaces.instances import Instance
 from toucancourse.membership.configuration import Configuration
 from toucancourse.membership.freshness import Freshness
 from toucancourse.membership.gossip import Gossip
-from toucancourse.platform.instances import Instance
 from toucancourse.protocol import peer_pb2, peer_pb2_grpc
 from toucancourse.protocol.outbox import Outbox
 from toucancourse.protocol.transports import (
