--- a/src/toucancourse/admission/limits.py
+++ b/src/toucancourse/admission/limits.py
@@ -2,7 +2,7 @@
 
 import threading
 import time
-from collections import defaultdict
+from collections import defaultdict, deque
 from collections.abc import Iterator
 from contextlib import contextmanager
 from typing import Final
@@ -93,3 +93,43 @@
                 return False
             self._tokens -= 1
             return True
+
+
+class WindowBudget:
+    """Retries within a sliding window, as a share of its first tries.
+
+    Shares of several entries add up: each counts its own first tries, and
+    the fixed part is divided among them.
+    """
+
+    def __init__(self, share: float, extra: float, seconds: float) -> None:
+        """Keep share, fixed part and the window's length in seconds."""
+        self._share = share
+        self._extra = extra
+        self._seconds = seconds
+        self._lock = threading.Lock()
+        self._firsts: deque[float] = deque()
+        self._retries: deque[float] = deque()
+
+    def note_request(self) -> None:
+        """Count a first try."""
+        with self._lock:
+            self._firsts.append(time.monotonic())
+            self._forget()
+
+    def spend(self, entries: int) -> bool:
+        """Take one retry; return False if this entry's share is used up."""
+        with self._lock:
+            self._forget()
+            allowed = self._share * len(self._firsts)
+            allowed += self._extra / max(1, entries)
+            if len(self._retries) + 1 > allowed:
+                return False
+            self._retries.append(time.monotonic())
+            return True
+
+    def _forget(self) -> None:
+        horizon = time.monotonic() - self._seconds
+        for moments in (self._firsts, self._retries):
+            while moments and moments[0] < horizon:
+                moments.popleft()
--- a/src/toucancourse/daemon/core.py
+++ b/src/toucancourse/daemon/core.py
@@ -82,7 +82,7 @@
         self._workers = ThreadPoolExecutor(MAX_THREADS, 'task')
         self._health_server = Server(
             self.health,
-            settings.text('daemon', 'health_address'),
+            (settings.text('daemon', 'health_address'),),
             HEALTH_BOUNDS,
         )
 
--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -140,7 +140,7 @@
         )
         self._caller_server = Server(
             self._front,
-            settings.text(ROLE, 'caller_address'),
+            (settings.text(ROLE, 'caller_address'),),
             Bounds(
                 settings.whole(ROLE, 'threads'),
                 max_body,
@@ -162,7 +162,7 @@
         )
         self._admin_server = Server(
             admin,
-            settings.text(ROLE, 'admin_address'),
+            (settings.text(ROLE, 'admin_address'),),
             Bounds(ADMIN_THREADS, ADMIN_BODY_BYTES, 60),
         )
 
--- a/src/toucancourse/daemon/logs.py
+++ b/src/toucancourse/daemon/logs.py
@@ -1,7 +1,11 @@
 """Structured logs of the daemons."""
 
 import json
+import logging
 import sys
+import threading
+import time
+from collections import deque
 from typing import TYPE_CHECKING, Final
 
 from loguru import logger
@@ -13,6 +17,73 @@
 
 TEXT_FORMAT: Final = '{time:HH:mm:ss.SSS} {level:<7} {message} {extra}'
 
+#: Lines that wait to be written; further ones are dropped and counted.
+MAX_WAITING_LINES: Final = 5000
+#: Pause between two writes, so that one carries many lines, in seconds.
+FLUSH_SECONDS: Final = 0.1
+
+
+class LineWriter:
+    """Writes log lines to standard output without blocking who logs."""
+
+    def __init__(self) -> None:
+        """Start a thread that writes."""
+        self._lines: deque[str] = deque()
+        self._dropped = 0
+        self._thread = threading.Thread(
+            target=self._run, name='logs', daemon=True
+        )
+        self._thread.start()
+
+    def add(self, message: 'Message') -> None:
+        """Queue one line, or count it as dropped."""
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self._dropped += 1
+            return
+        self._lines.append(_make_line(message))
+
+    def flush(self) -> None:
+        """Write all lines that wait."""
+        dropped, self._dropped = self._dropped, 0
+        count = len(self._lines)
+        lines = [self._lines.popleft() for _ in range(count)]
+        if dropped:
+            lines.append(f'{{"message": "lines dropped", "count": {dropped}}}')
+        if lines:
+            sys.stdout.write('\n'.join((*lines, '')))
+            sys.stdout.flush()
+
+    def _run(self) -> None:
+        while True:
+            time.sleep(FLUSH_SECONDS)
+            self.flush()
+
+
+class _Forwarder(logging.Handler):
+    """Hands records of the standard library's logging on."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Log a record of a library."""
+        trace = ''
+        if record.exc_info:
+            trace = self.format(record)
+        logger.warning(
+            'library message',
+            library=record.name,
+            why=record.getMessage(),
+            trace=trace,
+        )
+
+
+def set_up_node_logs(instance: str, level: str) -> LineWriter:
+    """Send logs to standard output as JSON lines; return the writer."""
+    writer = LineWriter()
+    logger.remove()
+    logger.add(writer.add, level=level, format='{message}', catch=False)
+    logger.configure(extra={'instance': instance})
+    logging.basicConfig(level=logging.WARNING, handlers=[_Forwarder()])
+    return writer
+
 
 def set_up_logs(settings: Settings) -> None:
     """Send logs to standard error as JSON lines or text."""
@@ -26,6 +97,10 @@
 
 
 def _write_json(message: 'Message') -> None:
+    sys.stderr.write(f'{_make_line(message)}\n')
+
+
+def _make_line(message: 'Message') -> str:
     record = message.record
     row = {
         'time': record['time'].isoformat(),
@@ -35,4 +110,4 @@
     }
     if record['exception'] is not None:
         row['exception'] = repr(record['exception'].value)
-    sys.stderr.write(f'{json.dumps(row, default=str)}\n')
+    return json.dumps(row, default=str)
--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -1,21 +1,26 @@
 """The daemon program."""
 
 import argparse
+import importlib
+import os
 import resource
 import signal
 import sys
 import threading
+from typing import Final
 
 from loguru import logger
 
-from ..protocol.transports import CertificateError, relax_waits
+from ..errors import CourseError
+from ..platform.names import SETTINGS_VARIABLE
+from ..platform.settings import NodeSettings, read_node_settings
 from ..settings.files import Settings, SettingsError, read_settings
-from .entry import Entry
-from .logs import set_up_logs
-from .sidecar import Sidecar
+from .logs import set_up_logs, set_up_node_logs
 
-EXIT_SETTINGS = 2
-EXIT_FAILED = 1
+EXIT_SETTINGS: Final = 2
+EXIT_FAILED: Final = 1
+#: Settings files of the users' platform end with this.
+NODE_SUFFIX: Final = '.toml'
 
 
 def main() -> None:
@@ -23,7 +28,15 @@
     parser = argparse.ArgumentParser(
         'toucancoursed', description='Entry or sidecar of toucancourse.'
     )
-    parser.add_argument('settings', help='INI file')
+    parser.add_argument(
+        'settings',
+        nargs='?',
+        default=os.environ.get(SETTINGS_VARIABLE, ''),
+        help=(
+            "INI file, or the users' platform's TOML file; by default the "
+            f'one that {SETTINGS_VARIABLE} names'
+        ),
+    )
     parser.add_argument(
         '--check',
         action='store_true',
@@ -31,12 +44,15 @@
     )
     arguments = parser.parse_args()
     try:
-        settings = read_settings(arguments.settings)
+        settings = _read(arguments.settings)
     except SettingsError as error:
         sys.stderr.write(f'{error.text}\n')
         sys.exit(EXIT_SETTINGS)
-    if not arguments.check:
-        sys.exit(run(settings))
+    if arguments.check:
+        return
+    if isinstance(settings, NodeSettings):
+        sys.exit(run_node(settings))
+    sys.exit(run(settings))
 
 
 def raise_descriptor_limit() -> None:
@@ -49,19 +65,49 @@
     """Serve until SIGTERM or SIGINT; return the exit code."""
     set_up_logs(settings)
     raise_descriptor_limit()
-    relax_waits()
-    asked = threading.Event()
-    signal.signal(signal.SIGTERM, lambda *_: asked.set())
-    signal.signal(signal.SIGINT, lambda *_: asked.set())
+    asked = _await_stop()
+    # Only the role that runs is imported, which saves memory and time.
+    module = importlib.import_module('.roles', __package__)
     try:
-        daemon = (
-            Entry(settings) if settings.role == 'entry' else Sidecar(settings)
-        )
+        daemon = module.build(settings)
         daemon.start()
-    except (OSError, CertificateError) as error:
+    except (OSError, CourseError) as error:
         logger.error('the daemon did not start: {}', error)
         return EXIT_FAILED
     asked.wait()
     logger.info('draining')
     daemon.drain()
     return 0
+
+
+def run_node(settings: NodeSettings) -> int:
+    """Serve on the users' platform until SIGTERM; return the exit code."""
+    writer = set_up_node_logs(settings.instance, 'DEBUG')
+    asked = _await_stop()
+    module = importlib.import_module('.node', __package__)
+    try:
+        node = module.Node(settings)
+        signal.signal(signal.SIGHUP, lambda *_: node.reload())
+        node.start()
+    except OSError as error:
+        logger.error('the daemon did not start', why=repr(error))
+        writer.flush()
+        return EXIT_FAILED
+    asked.wait()
+    node.drain()
+    writer.flush()
+    # Threads of requests that did not end in time must not hold it up.
+    os._exit(0)
+
+
+def _read(path: str) -> Settings | NodeSettings:
+    if path.endswith(NODE_SUFFIX):
+        return read_node_settings(path)
+    return read_settings(path)
+
+
+def _await_stop() -> threading.Event:
+    asked = threading.Event()
+    signal.signal(signal.SIGTERM, lambda *_: asked.set())
+    signal.signal(signal.SIGINT, lambda *_: asked.set())
+    return asked
--- /dev/null
+++ b/src/toucancourse/daemon/node.py
@@ -0,0 +1,250 @@
+"""The entry on the users' platform: wires the parts and runs them."""
+
+import threading
+import time
+from collections import defaultdict
+from collections.abc import Callable
+from typing import Final
+
+from loguru import logger
+
+from ..admission.limits import WindowBudget
+from ..errors import CourseError
+from ..forwarding.admission import PROOF_SHARE, Admission
+from ..forwarding.connections import Connections
+from ..forwarding.endpoints import Endpoint, EndpointBook
+from ..forwarding.metrics import ForwardingMetrics
+from ..forwarding.peers import EntryBook, Listeners
+from ..forwarding.relay import Relay, RelayParts
+from ..forwarding.rollouts import RolloutJudge, Rollouts
+from ..forwarding.selection import COLD_SHARE, Chooser
+from ..forwarding.tables import OperatorBook
+from ..membership.feeds import Feed, Pace
+from ..platform import names
+from ..platform.messages import PlatformCodec
+from ..platform.records import PlatformDecoder
+from ..platform.settings import NodeSettings, read_node_settings
+from ..platform.store import StoreTopic
+from ..routing.endpoints import Outliers
+from ..web.health import Health
+from ..web.ingress import IngressBounds, IngressServer
+from ..web.server import Bounds, Server
+
+#: Where metrics are served; the deploy file names the same.
+METRICS_PORT: Final = 9464
+#: Descriptors kept for endpoints, the store and files.
+OWN_DESCRIPTORS: Final = 1400
+#: Memory for one request's thread and buffers, in MB.
+REQUEST_MB: Final = 0.3
+MAX_THREADS: Final = 600
+#: Largest header and body accepted before a configuration says so.
+MAX_HEADER_BYTES: Final = 65_536
+MAX_BODY_BYTES: Final = 4_194_304
+#: How often roll-outs, idle connections and gauges are looked at, seconds.
+TICK_SECONDS: Final = 0.25
+#: Pause between reads of the endpoints' records, so that one read carries
+#: those of many; drained endpoints must be left within two seconds.
+ENDPOINT_PAUSE: Final = 0.3
+#: The balancer asks once a second and needs two misses.
+LEAVE_SECONDS: Final = 3.2
+#: Time kept back from the grace period for the process's end, in seconds.
+END_MARGIN: Final = 0.8
+#: Share of the retry budget that is used: arrivals that others count as
+#: repeats differ a little from ours.
+BUDGET_SHARE: Final = 0.85
+
+
+class Node:
+    """One entry."""
+
+    def __init__(self, settings: NodeSettings) -> None:
+        """Build the parts and bind the addresses."""
+        self._settings = settings
+        decoder = PlatformDecoder()
+        codec = PlatformCodec()
+        self._connections = Connections(codec)
+        self._operators = OperatorBook(decoder)
+        self._endpoints = EndpointBook(decoder, self._forget)
+        self._rollouts = Rollouts(decoder, self._operators, settings.session)
+        self._entries = EntryBook(settings.instance)
+        self._metrics = ForwardingMetrics()
+        self._build_feeds()
+        self._judge = RolloutJudge(
+            self._rollouts,
+            self._operators,
+            self._status_topic,
+            decoder,
+            self._status_feed,
+        )
+        self._budgets: dict[str, WindowBudget] = defaultdict(self._make_budget)
+        self._leaving = threading.Event()
+        outliers = Outliers()
+        chooser = Chooser(settings.zone, outliers, self._find_cold_rate)
+        self._relay = Relay(
+            RelayParts(
+                codec=codec,
+                admission=Admission(
+                    self._operators, self._endpoints, self._rollouts, chooser
+                ),
+                connections=self._connections,
+                rollouts=self._rollouts,
+                outliers=outliers,
+                metrics=self._metrics,
+                find_budget=self._budgets.__getitem__,
+                count_entries=self._entries.count,
+                find_age=self._operator_feed.age,
+                revocation_seconds=settings.revocation,
+            )
+        )
+        self._build_servers()
+
+    def start(self) -> None:
+        """Serve and follow the store."""
+        for feed in (
+            self._operator_feed,
+            self._endpoint_feed,
+            self._status_feed,
+        ):
+            _start_thread(feed.run)
+        _start_thread(self._register)
+        _start_thread(self._tick)
+        self._health_server.start()
+        self._ingress.start()
+        logger.info(
+            'started',
+            callers=self._settings.callers,
+            zone=self._settings.zone,
+            store=self._settings.store,
+        )
+
+    def reload(self) -> None:
+        """Read the settings file again; what is bound stays as it is."""
+        try:
+            settings = read_node_settings(self._settings.path)
+        except CourseError as error:
+            logger.error('settings not reloaded', why=error.text)
+            return
+        changed = [
+            name
+            for name, text in settings._asdict().items()
+            if text != getattr(self._settings, name)
+        ]
+        logger.info('settings reloaded', changed=changed)
+
+    def drain(self) -> None:
+        """Leave the balancer, finish what runs, and return."""
+        began = time.monotonic()
+        self._leaving.set()
+        self._ingress.is_draining = True
+        end = began + self._settings.grace - END_MARGIN
+        logger.info('draining', running=self._ingress.count_running())
+        _start_thread(self._leave)
+        while time.monotonic() < end:
+            waited = time.monotonic() - began
+            running = self._ingress.count_running()
+            if waited >= LEAVE_SECONDS and not running:
+                break
+            time.sleep(0.05)
+        logger.info(
+            'stopped',
+            seconds=round(time.monotonic() - began, 2),
+            running=self._ingress.count_running(),
+        )
+
+    def _build_feeds(self) -> None:
+        store = self._settings.store
+        self._status_topic = StoreTopic(store, names.STATUS_TOPIC)
+        self._operator_feed = Feed(
+            'operators',
+            StoreTopic(store, names.OPERATOR_TOPIC),
+            self._operators,
+            Pace(0),
+        )
+        self._endpoint_feed = Feed(
+            'endpoints',
+            StoreTopic(store, names.ENDPOINT_TOPIC),
+            self._endpoints,
+            Pace(ENDPOINT_PAUSE),
+        )
+        self._status_feed = Feed(
+            'statuses',
+            StoreTopic(store, names.STATUS_TOPIC),
+            Listeners(self._rollouts, self._entries),
+            Pace(0),
+        )
+
+    def _build_servers(self) -> None:
+        settings = self._settings
+        threads = min(MAX_THREADS, int(settings.memory_mb / 2 / REQUEST_MB))
+        self._ingress = IngressServer(
+            self._relay.serve,
+            settings.callers,
+            IngressBounds(
+                max(100, settings.descriptors - OWN_DESCRIPTORS),
+                threads,
+                MAX_HEADER_BYTES,
+                MAX_BODY_BYTES,
+            ),
+        )
+        health = Health(self._find_problem, self._describe, names.READY_PATH)
+        self._health_server = Server(
+            health,
+            (settings.readiness, f'{settings.host}:{METRICS_PORT}'),
+            Bounds(1, MAX_HEADER_BYTES, 60),
+        )
+
+    def _find_problem(self) -> str:
+        if self._leaving.is_set():
+            return 'leaving'
+        if self._operators.table is None:
+            return 'no configuration is known'
+        if not self._endpoints.is_known:
+            return 'no endpoints are known'
+        if self._operator_feed.age() > PROOF_SHARE * self._settings.revocation:
+            return 'the configuration may be out of date'
+        return ''
+
+    def _describe(self) -> dict[str, object]:
+        table = self._operators.table
+        return {'revision': table.revision if table else None}
+
+    def _find_cold_rate(self, service: str) -> float:
+        """Return this entry's requests a second for one cold endpoint."""
+        table = self._operators.table
+        found = table.services.get(service) if table else None
+        if found is None or not found.cold_rate:
+            return 0
+        settings = self._settings
+        rate = found.cold_rate * settings.cold_factor + settings.cold_excess
+        return max(1, COLD_SHARE * rate / self._entries.count())
+
+    def _make_budget(self) -> WindowBudget:
+        settings = self._settings
+        return WindowBudget(
+            settings.retry_share * BUDGET_SHARE,
+            settings.retry_extra * BUDGET_SHARE,
+            settings.retry_window,
+        )
+
+    def _forget(self, endpoint: Endpoint) -> None:
+        self._connections.drop(endpoint.record)
+
+    def _register(self) -> None:
+        self._entries.register(self._status_topic, self._status_feed)
+
+    def _leave(self) -> None:
+        self._entries.leave(self._status_topic, self._status_feed)
+
+    def _tick(self) -> None:
+        while True:
+            time.sleep(TICK_SECONDS)
+            self._judge.check()
+            self._connections.sweep()
+            self._metrics.proof_age.set(self._operator_feed.age())
+            table = self._operators.table
+            if table is not None:
+                self._ingress.idle_seconds = table.limits.idle_seconds
+
+
+def _start_thread(target: Callable[[], None]) -> None:
+    threading.Thread(target=target, daemon=True).start()
--- /dev/null
+++ b/src/toucancourse/daemon/roles.py
@@ -0,0 +1,17 @@
+"""The daemons of the project's own interface."""
+
+from ..protocol.transports import relax_waits
+from ..settings.files import Settings
+from .entry import Entry
+from .sidecar import Sidecar
+
+
+def build(settings: Settings) -> Entry | Sidecar:
+    """Return the daemon that the settings name.
+
+    Raises OSError or CertificateError.
+    """
+    relax_waits()
+    if settings.role == 'entry':
+        return Entry(settings)
+    return Sidecar(settings)
--- a/src/toucancourse/errors.py
+++ b/src/toucancourse/errors.py
@@ -28,9 +28,9 @@
     status = 500
     outcome = Outcome.not_run
     #: Seconds after which a retry can help, or None.
-    retry_after: int | None = None
+    retry_after: float | None = None
 
-    def __init__(self, text: str, retry_after: int | None = None) -> None:
+    def __init__(self, text: str, retry_after: float | None = None) -> None:
         """Keep the text shown to the caller or operator."""
         super().__init__(text)
         self.text = text
--- /dev/null
+++ b/src/toucancourse/forwarding/evidence.py
@@ -0,0 +1,107 @@
+"""Whether a version answers worse than the one that it replaces."""
+
+import math
+import threading
+from collections import defaultdict
+from typing import Final, NamedTuple
+
+#: Standard errors by which the new version's share of bad answers must lie
+#: above the old one's: one-sided 0.1%, looked at after each answer.
+WANTED_ERRORS: Final = 3.1
+#: Bad answers below which nothing is concluded.
+MIN_BAD: Final = 4
+#: Least difference of the shares that is held against a version.
+MIN_DIFFERENCE: Final = 0.12
+#: Answers below which a version is not called good.
+MIN_ANSWERS: Final = 8
+#: Share of bad answers that is assumed of any version.
+PRIOR_SHARE: Final = 0.01
+PRIOR_ANSWERS: Final = 10.0
+#: An answer this many times slower than usual is a bad one.
+SLOW_RATIO: Final = 3.5
+#: Least usual time in seconds, below which ratios are noise.
+MIN_USUAL: Final = 0.1
+USUAL_STEP: Final = 0.1
+
+
+class Count(NamedTuple):
+    """Answers of one version."""
+
+    answers: int = 0
+    bad: int = 0
+
+
+class Evidence:
+    """Answers by version of one service, as this entry saw them."""
+
+    def __init__(self) -> None:
+        """Start with none."""
+        self._lock = threading.Lock()
+        self._counts: dict[str, Count] = defaultdict(Count)
+        #: Route and model -> usual time to an answer, in seconds.
+        self._usual: dict[tuple[str, str], float] = {}
+
+    def clear(self) -> None:
+        """Forget the counts when a roll-out begins."""
+        with self._lock:
+            self._counts.clear()
+
+    def note_failure(self, version: str) -> None:
+        """Count an answer that failed."""
+        self._add(version, is_bad=True)
+
+    def note_answer(
+        self,
+        version: str,
+        work: tuple[str, str],
+        seconds: float,
+        *,
+        is_new: bool,
+    ) -> None:
+        """Count an answer to a route's work by a model, and its time."""
+        usual = self._usual.get(work)
+        is_slow = (
+            is_new
+            and usual is not None
+            and seconds > SLOW_RATIO * max(MIN_USUAL, usual)
+        )
+        if not is_new:
+            if usual is None:
+                usual = seconds
+            self._usual[work] = usual + USUAL_STEP * (seconds - usual)
+        self._add(version, is_bad=is_slow)
+
+    def count(self, version: str) -> Count:
+        """Return the answers of a version."""
+        return self._counts.get(version, Count())
+
+    def is_bad(self, version: str) -> bool:
+        """Return True if a version is worse than the others beyond doubt."""
+        new = self.count(version)
+        if new.bad < MIN_BAD:
+            return False
+        with self._lock:
+            others = [
+                count for name, count in self._counts.items() if name != version
+            ]
+        answers = PRIOR_ANSWERS + sum(row.answers for row in others)
+        bad = PRIOR_ANSWERS * PRIOR_SHARE + sum(row.bad for row in others)
+        difference = new.bad / new.answers - bad / answers
+        pooled = (new.bad + bad) / (new.answers + answers)
+        error = math.sqrt(
+            pooled * (1 - pooled) * (1 / new.answers + 1 / answers)
+        )
+        return (
+            difference >= MIN_DIFFERENCE and difference >= WANTED_ERRORS * error
+        )
+
+    def is_good(self, version: str) -> bool:
+        """Return True if a version was seen enough and is not bad."""
+        return self.count(version).answers >= MIN_ANSWERS and not (
+            self.is_bad(version)
+        )
+
+    def _add(self, version: str, *, is_bad: bool) -> None:
+        with self._lock:
+            old = self._counts[version]
+            self._counts[version] = Count(old.answers + 1, old.bad + is_bad)
--- /dev/null
+++ b/src/toucancourse/forwarding/models.py
@@ -0,0 +1,51 @@
+"""Which model answers a request, and when a larger one is asked."""
+
+import time
+from collections.abc import Sequence
+from typing import Final, NamedTuple
+
+from .objects import Call, Head, Route
+
+#: Confidence in [0, 1] from which on a smaller model's answer is taken.
+MIN_CONFIDENCE: Final = 0.6
+#: Part of the objective that must be left for the larger model.
+MIN_LEFT: Final = 0.25
+
+
+class Models(NamedTuple):
+    """The models that a request may still be sent to, smallest first."""
+
+    names: Sequence[str]
+
+    @property
+    def current(self) -> str:
+        """Return the model to ask now, or '' to keep the caller's."""
+        return self.names[0] if self.names else ''
+
+    def enlarge(self) -> 'Models':
+        """Return the models without the one that was not good enough."""
+        return Models(self.names[-1:])
+
+
+def list_models(route: Route, call: Call) -> Models:
+    """Return the models for a call: the smallest, then the largest."""
+    if not call.any_model or not route.models:
+        return Models(())
+    if len(route.models) == 1:
+        return Models(route.models)
+    return Models((route.models[0], route.models[-1]))
+
+
+def is_good_enough(
+    route: Route,
+    call: Call,
+    models: Models,
+    head: Head,
+) -> bool:
+    """Return True if the answer that begins is worth handing on."""
+    if len(models.names) < 2 or head.confidence is None:
+        return True
+    if head.confidence >= MIN_CONFIDENCE:
+        return True
+    left = call.received + route.objective - time.monotonic()
+    return left < MIN_LEFT * route.objective
--- /dev/null
+++ b/src/toucancourse/forwarding/relay.py
@@ -0,0 +1,472 @@
+"""Serves one request: choice, attempts, and the answer to the caller."""
+
+import time
+from collections.abc import Callable
+from http import HTTPStatus
+from typing import Final, NamedTuple
+
+from loguru import logger
+
+from ..admission.limits import WindowBudget
+from ..errors import (
+    DECODE_ERRORS,
+    BadRequestError,
+    CourseError,
+    DeadlineError,
+    EndpointError,
+    Outcome,
+    UnavailableError,
+)
+from ..routing.endpoints import Outliers
+from .admission import Admission, Admitted, Choice, check_time
+from .connections import Connections, Exchange, NotSentError, SilentError
+from .events import EventSplitter
+from .messages import Codec, RawRequest
+from .metrics import ForwardingMetrics
+from .models import Models, is_good_enough, list_models
+from .objects import Call, Head, Kind, Order
+from .replies import CallerGoneError, Reply
+from .rollouts import Rollouts
+
+#: Part of the objective that a first endpoint has to begin its answer, if a
+#: second one may be asked.
+FIRST_PART: Final = 0.5
+#: Silence within a stream after which another endpoint goes on, in seconds;
+#: callers leave after eight of the longest pauses.
+STREAM_SILENCE_SECONDS: Final = 2.0
+#: Endpoints asked that did not run the request, on top of its runs.
+MAX_SENDS: Final = 4
+#: Time kept back from a deadline for the answer's way, in seconds.
+WAY_SECONDS: Final = 0.02
+#: Shortest time worth sending a request for, in seconds.
+MIN_LEFT_SECONDS: Final = 0.03
+
+
+class RejectedError(UnavailableError):
+    """The endpoint states that it did not run the request."""
+
+    code = 'endpoint_rejected'
+
+
+_RETRYABLE: Final = (EndpointError, NotSentError, RejectedError)
+
+
+class RelayParts(NamedTuple):
+    """What every request of an entry uses."""
+
+    codec: Codec
+    admission: Admission
+    connections: Connections
+    rollouts: Rollouts
+    outliers: Outliers
+    metrics: ForwardingMetrics
+    find_budget: Callable[[str], WindowBudget]
+    count_entries: Callable[[], int]
+    find_age: Callable[[], float]
+    revocation_seconds: float
+
+
+class _Try(NamedTuple):
+    """One attempt and what it took."""
+
+    choice: Choice
+    exchange: Exchange
+    model: str
+    began: float
+    order: Order
+
+
+class Relay:
+    """Forwards requests."""
+
+    def __init__(self, parts: RelayParts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+
+    def serve(self, raw: RawRequest, reply: Reply) -> None:
+        """Answer one request.
+
+        Raises a CourseError if no byte of an answer was sent.
+        """
+        try:
+            call = self._parts.codec.decode_call(raw)
+        except DECODE_ERRORS as error:
+            raise BadRequestError(f'a header is malformed: {error}') from error
+        delivery = Delivery(self._parts, call, reply)
+        try:
+            delivery.run()
+        except CourseError as error:
+            delivery.log_end(error.code, error)
+            raise
+        finally:
+            reply.watch(None)
+        delivery.log_end('ok', None)
+
+
+class Delivery:
+    """One request on its way."""
+
+    def __init__(self, parts: RelayParts, call: Call, reply: Reply) -> None:
+        """Keep the parts."""
+        self._parts = parts
+        self._call = call
+        self._reply = reply
+        self._admitted: Admitted | None = None
+        self._models = Models(())
+        self._tried: set[str] = set()
+        #: Attempts that ran or may have run.
+        self._runs = 0
+        self._sends = 0
+        self._last_event = call.last_event
+        self._has_begun = False
+        self._limit = call.deadline
+        self._first_event: float | None = None
+        self._status = 0
+        #: Version and model that the stream began with.
+        self._bound = ('', '')
+
+    def run(self) -> None:
+        """Send the request until it is answered."""
+        admitted = self._admit()
+        self._models = list_models(admitted.route, self._call)
+        service = admitted.route.shares[0].service
+        self._parts.find_budget(service).note_request()
+        last: CourseError | None = None
+        while True:
+            try:
+                if self._attempt():
+                    return
+            except CallerGoneError:
+                raise
+            except CourseError as error:
+                last = error
+                if not self._may_go_on(error):
+                    self._fail(error)
+
+    def log_end(self, code: str, error: CourseError | None) -> None:
+        """Log and count how the request ended."""
+        route = self._admitted.route.name if self._admitted else ''
+        seconds = time.monotonic() - self._call.received
+        self._parts.metrics.note_end(route, code, seconds, self._first_event)
+        logger.info(
+            'request ended',
+            call=self._call.identifier,
+            route=route,
+            account=self._admitted.account.name if self._admitted else '',
+            code=code,
+            status=self._status or (error.status if error else 0),
+            why=error.text if error else '',
+            sends=self._sends,
+            runs=self._runs,
+            seconds=round(seconds, 4),
+            first=self._first_event,
+            proof_age=round(self._parts.find_age(), 2),
+        )
+
+    def _admit(self) -> Admitted:
+        admitted = self._parts.admission.admit(
+            self._call, self._parts.revocation_seconds, self._parts.find_age
+        )
+        self._admitted = admitted
+        self._limit = self._call.deadline - WAY_SECONDS
+        if admitted.route.timeout:
+            timeout = self._call.received + admitted.route.timeout
+            self._limit = min(self._limit, timeout)
+        check_time(self._call, self._limit, time.monotonic())
+        return admitted
+
+    def _attempt(self) -> bool:
+        """Send the request once; return True if it was answered."""
+        admitted = self._admit()
+        self._check_caller()
+        model = self._bound[1] or self._models.current
+        choice = self._parts.admission.choose(
+            self._call, admitted, model, self._tried
+        )
+        attempt = self._open(admitted, choice, model)
+        endpoint = choice.endpoint
+        fresh = choice.scored.fresh_tokens
+        endpoint.enter(fresh)
+        pending = fresh
+        self._reply.watch(attempt.exchange.cancel)
+        try:
+            if self._reply.is_gone():
+                raise CallerGoneError('the caller closed its connection')
+            head = self._ask(attempt)
+            endpoint.begin(pending)
+            pending = 0
+            return self._take(attempt, head)
+        except CourseError as error:
+            if self._reply.is_gone():
+                raise CallerGoneError('the caller has left') from error
+            self._note_failure(attempt, error)
+            raise
+        finally:
+            self._reply.watch(None)
+            endpoint.begin(pending)
+            endpoint.leave()
+            self._parts.connections.keep(endpoint.record, attempt.exchange)
+
+    def _open(
+        self,
+        admitted: Admitted,
+        choice: Choice,
+        model: str,
+    ) -> _Try:
+        endpoint = choice.endpoint
+        record = endpoint.record
+        self._tried.add(record.identifier)
+        self._sends += 1
+        now = time.monotonic()
+        left = self._limit - now
+        if left < MIN_LEFT_SECONDS:
+            raise DeadlineError(f'{left:.3f} s are left')
+        order = Order(
+            identifier=record.identifier,
+            account=admitted.account.name,
+            seconds_left=self._call.deadline - now,
+            model=model,
+            rank=admitted.find_rank(),
+            last_event=self._last_event,
+        )
+        logger.debug(
+            'request sent',
+            call=self._call.identifier,
+            endpoint=record.identifier,
+            version=record.version,
+            model=model,
+            number=self._sends,
+            running=endpoint.running,
+            others=round(endpoint.others(), 1),
+            fresh_tokens=choice.scored.fresh_tokens,
+        )
+        try:
+            exchange = self._parts.connections.open(record, self._call)
+        except NotSentError:
+            endpoint.note_unreachable()
+            self._parts.outliers.note(record.identifier, failed=True)
+            raise
+        return _Try(choice, exchange, model, now, order)
+
+    def _ask(self, attempt: _Try) -> Head:
+        """Return the start of the endpoint's answer."""
+        exchange = attempt.exchange
+        self._runs += 1
+        try:
+            exchange.send(attempt.order)
+        except NotSentError:
+            self._runs -= 1
+            raise
+        head = exchange.read_head(self._find_patience())
+        endpoint = attempt.choice.endpoint
+        if head.load is not None:
+            endpoint.note_load(head.load)
+        if head.cold_seconds is not None:
+            endpoint.note_cold(head.cold_seconds)
+        if head.not_run or head.misdirected:
+            self._runs -= 1
+            self._drain(attempt)
+            raise RejectedError(
+                f'endpoint "{endpoint.record.identifier}" answered '
+                f'{head.status} and did not run it'
+            )
+        endpoint.note_answer()
+        return head
+
+    def _drain(self, attempt: _Try) -> None:
+        """Read the rest of an answer that is not used."""
+        try:
+            attempt.exchange.read_body(time.monotonic() + MIN_LEFT_SECONDS)
+        except CourseError:
+            attempt.exchange.close()
+
+    def _find_patience(self) -> float:
+        """Return until when an endpoint may take to begin its answer."""
+        assert self._admitted is not None
+        route = self._admitted.route
+        now = time.monotonic()
+        if not route.is_repeatable() or self._runs >= route.max_runs:
+            return self._limit
+        patience = max(
+            FIRST_PART * route.objective,
+            FIRST_PART * (self._limit - now),
+        )
+        if route.kind is Kind.stream:
+            patience = FIRST_PART * route.objective * self._runs
+        return min(self._limit, now + patience)
+
+    def _take(self, attempt: _Try, head: Head) -> bool:
+        """Hand the answer on; return False if it is dropped."""
+        assert self._admitted is not None
+        route = self._admitted.route
+        is_success = 200 <= head.status < 300
+        if is_success and not head.is_signed:
+            raise EndpointError('the answer is not signed')
+        if not is_success:
+            return self._take_failure(attempt, head)
+        if route.kind is Kind.stream and head.is_event_stream:
+            return self._take_stream(attempt, head)
+        body = attempt.exchange.read_body(self._limit)
+        self._note_success(attempt)
+        self._send(head, body)
+        return True
+
+    def _take_failure(self, attempt: _Try, head: Head) -> bool:
+        """Hand a failure on unless another endpoint may do better."""
+        assert self._admitted is not None
+        body = attempt.exchange.read_body(self._limit)
+        error = EndpointError(f'the endpoint answered {head.status}')
+        is_fault = head.status >= HTTPStatus.INTERNAL_SERVER_ERROR
+        if is_fault and self._may_go_on(error):
+            self._note_failure(attempt, error)
+            return False
+        if is_fault:
+            self._note_failure(attempt, error)
+        if self._has_begun:
+            raise error
+        if not head.is_signed:
+            raise EndpointError('the failure is not signed')
+        self._send(head, body)
+        return True
+
+    def _take_stream(self, attempt: _Try, head: Head) -> bool:
+        assert self._admitted is not None
+        route = self._admitted.route
+        if not self._has_begun and not is_good_enough(
+            route, self._call, self._models, head
+        ):
+            return self._drop(attempt, head)
+        splitter = EventSplitter()
+        exchange = attempt.exchange
+        while True:
+            content = exchange.read_some(
+                min(self._limit, time.monotonic() + STREAM_SILENCE_SECONDS)
+            )
+            if not content:
+                break
+            events = splitter.add(content)
+            if events.content:
+                self._write(attempt, head, events.content)
+                self._last_event = events.last or self._last_event
+        if splitter.has_rest() or not self._has_begun:
+            raise EndpointError('the stream ended within an event')
+        self._reply.finish()
+        return True
+
+    def _drop(self, attempt: _Try, head: Head) -> bool:
+        """Ask a larger model instead, if a retry may be spent on it."""
+        assert self._admitted is not None
+        if self._runs >= self._admitted.route.max_runs:
+            self._models = self._models.enlarge()
+        elif self._spend(attempt.choice.service):
+            logger.info(
+                'answer dropped',
+                call=self._call.identifier,
+                model=attempt.model,
+                confidence=head.confidence,
+            )
+            self._parts.metrics.drops.inc()
+            attempt.exchange.close()
+            self._models = self._models.enlarge()
+            self._tried.discard(attempt.choice.endpoint.record.identifier)
+            return False
+        self._models = Models((attempt.model,))
+        return self._take_stream(attempt, head)
+
+    def _write(self, attempt: _Try, head: Head, content: bytes) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self._status = head.status
+            self._bound = (attempt.choice.version, attempt.model)
+            now = time.monotonic()
+            self._first_event = round(now - self._call.received, 4)
+            self._note_success(attempt)
+            self._reply.begin(head.status, head.headers)
+        self._reply.write(content)
+
+    def _send(self, head: Head, body: bytes) -> None:
+        self._status = head.status
+        self._reply.send(head.status, head.headers, body)
+
+    def _may_go_on(self, error: CourseError) -> bool:
+        """Return True if another endpoint may be asked."""
+        assert self._admitted is not None
+        route = self._admitted.route
+        if not isinstance(error, _RETRYABLE):
+            return False
+        if time.monotonic() + MIN_LEFT_SECONDS >= self._limit:
+            return False
+        if self._runs and not route.is_repeatable():
+            return False
+        if self._runs >= route.max_runs or self._sends >= MAX_SENDS:
+            return False
+        if isinstance(error, NotSentError):
+            return True
+        return self._spend(route.shares[0].service)
+
+    def _spend(self, service: str) -> bool:
+        budget = self._parts.find_budget(service)
+        is_free = budget.spend(self._parts.count_entries())
+        self._parts.metrics.retries.labels(str(is_free)).inc()
+        return is_free
+
+    def _fail(self, error: CourseError) -> None:
+        """End the request without an answer of an endpoint.
+
+        Raises the error, made true for a request that may have run.
+        """
+        if self._has_begun:
+            self._reply.abort()
+            raise EndpointError(f'the stream broke off: {error.text}')
+        if self._runs and error.outcome is Outcome.not_run:
+            if isinstance(error, DeadlineError):
+                raise DeadlineError(error.text)
+            raise EndpointError(error.text)
+        raise error
+
+    def _check_caller(self) -> None:
+        if self._reply.is_gone():
+            raise CallerGoneError('the caller closed its connection')
+
+    def _note_success(self, attempt: _Try) -> None:
+        choice = attempt.choice
+        seconds = time.monotonic() - attempt.began
+        endpoint = choice.endpoint
+        self._parts.outliers.note(endpoint.record.identifier, failed=False)
+        endpoint.note_parts(self._call, attempt.model)
+        assert self._admitted is not None
+        route = self._admitted.route
+        usual = self._parts.metrics.note_usual(
+            (route.name, attempt.model), seconds
+        )
+        endpoint.note_pace(seconds / usual)
+        is_new = self._parts.rollouts.is_trial(choice.service, choice.version)
+        self._parts.rollouts.evidence(choice.service).note_answer(
+            choice.version, (route.name, attempt.model), seconds, is_new=is_new
+        )
+        self._parts.rollouts.note_session(
+            choice.service, self._call.session, choice.version
+        )
+
+    def _note_failure(self, attempt: _Try, error: CourseError) -> None:
+        choice = attempt.choice
+        record = choice.endpoint.record
+        logger.info(
+            'attempt failed',
+            call=self._call.identifier,
+            endpoint=record.identifier,
+            version=choice.version,
+            model=attempt.model,
+            code=error.code,
+            why=error.text,
+            seconds=round(time.monotonic() - attempt.began, 4),
+        )
+        self._parts.metrics.failures.labels(error.code).inc()
+        if error.outcome is Outcome.not_run:
+            return
+        self._parts.outliers.note(record.identifier, failed=True)
+        self._parts.rollouts.evidence(choice.service).note_failure(
+            choice.version
+        )
+        if isinstance(error, SilentError):
+            self._parts.connections.drop(record)
--- /dev/null
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -0,0 +1,238 @@
+"""Which version of a service a request goes to while one is rolled out."""
+
+import hashlib
+import threading
+from collections import OrderedDict
+from collections.abc import Iterable
+from enum import StrEnum
+from typing import Final, NamedTuple
+
+from loguru import logger
+
+from ..errors import DECODE_ERRORS, LogDownError
+from ..membership.clock import read_clock
+from ..membership.feeds import Feed, Listener
+from ..membership.topics import Topic
+from .evidence import Evidence
+from .records import Decoder, RolloutStatus
+from .tables import OperatorBook, TimedOrder
+
+#: Share of new sessions that try a version; operators bound it to 0.15 of all
+#: requests, and the rest is left for the move to a version that turns bad.
+TRIAL_SHARE: Final = 0.08
+#: Part of the order's time after which a good version gets all new work.
+MOVE_AT: Final = 0.78
+#: Part after which a good version is completed; work on the old one has
+#: ended by then.
+COMPLETE_AT: Final = 0.92
+#: Part after which a version that was not seen enough is turned back.
+GIVE_UP_AT: Final = 0.97
+#: Sessions remembered.
+MAX_SESSIONS: Final = 5000
+SHARE_STEPS: Final = 10_000
+
+
+class State(StrEnum):
+    """How a roll-out stands."""
+
+    running = 'running'
+    done = 'done'
+    back = 'back'
+
+
+class _Pin(NamedTuple):
+    version: str
+    #: read_clock() of the session's last request.
+    moment: float
+
+
+class Rollouts(Listener):
+    """Chooses versions and decides roll-outs; told of the statuses."""
+
+    def __init__(
+        self,
+        decoder: Decoder,
+        operators: OperatorBook,
+        session_seconds: float,
+    ) -> None:
+        """Keep the parts; a session ends after session_seconds."""
+        self._decoder = decoder
+        self._operators = operators
+        self._session_seconds = session_seconds
+        self._lock = threading.Lock()
+        self._statuses: dict[str, RolloutStatus] = {}
+        self._evidence: dict[str, Evidence] = {}
+        self._sessions: OrderedDict[tuple[str, str], _Pin] = OrderedDict()
+
+    def apply(self, key: str, content: bytes | None) -> None:
+        """Take the newest status of a roll-out."""
+        if content is None:
+            return
+        try:
+            status = self._decoder.decode_status(key, content)
+        except DECODE_ERRORS as error:
+            logger.warning('record not read', key=key, why=repr(error))
+            return
+        if status is not None:
+            self._statuses[status.service] = status
+            logger.info('roll-out status', **status._asdict())
+
+    def evidence(self, service: str) -> Evidence:
+        """Return what is known of a service's versions."""
+        with self._lock:
+            return self._evidence.setdefault(service, Evidence())
+
+    def find_state(self, service: str, target: str) -> State:
+        """Return how the move of a service to a version stands."""
+        status = self._statuses.get(service)
+        if status is None or status.target != target:
+            return State.running
+        return State(status.state)
+
+    def is_trial(self, service: str, version: str) -> bool:
+        """Return True if a version is being tried."""
+        timed = self._operators.order(service)
+        return timed is not None and timed.order.target == version
+
+    def choose(
+        self,
+        service: str,
+        versions: Iterable[str],
+        session: str,
+        seed: str,
+    ) -> str:
+        """Return the version for a request, or '' if any will do.
+
+        The seed decides for requests without a session.
+        """
+        timed = self._operators.order(service)
+        present = set(versions)
+        if timed is None:
+            return ''
+        target = timed.order.target
+        others = sorted(present - {target})
+        state = self.find_state(service, target)
+        if state is State.done:
+            return target
+        old = others[-1] if others else ''
+        if state is State.back or target not in present:
+            return old or '-'
+        if not old:
+            return target
+        version = self._choose_running(timed, session or seed, old)
+        return self._keep_session(timed, session, version, present)
+
+    def note_session(self, service: str, session: str, version: str) -> None:
+        """Remember the version that answers a session."""
+        if not session:
+            return
+        with self._lock:
+            self._sessions[(service, session)] = _Pin(version, read_clock())
+            self._sessions.move_to_end((service, session))
+            while len(self._sessions) > MAX_SESSIONS:
+                self._sessions.popitem(last=False)
+
+    def _choose_running(self, timed: TimedOrder, seed: str, old: str) -> str:
+        order = timed.order
+        evidence = self.evidence(order.service)
+        if evidence.is_bad(order.target):
+            return old
+        share = TRIAL_SHARE
+        if _find_progress(timed) >= MOVE_AT and evidence.is_good(order.target):
+            share = 1.0
+        drawn = hashlib.blake2b(
+            f'{order.service}\0{order.target}\0{seed}'.encode(), digest_size=4
+        )
+        place = int.from_bytes(drawn.digest(), 'big') % SHARE_STEPS
+        return order.target if place < share * SHARE_STEPS else old
+
+    def _keep_session(
+        self,
+        timed: TimedOrder,
+        session: str,
+        version: str,
+        present: set[str],
+    ) -> str:
+        order = timed.order
+        pin = self._sessions.get((order.service, session))
+        if pin is None or pin.version not in present:
+            return version
+        if read_clock() - pin.moment > self._session_seconds:
+            return version
+        if self.evidence(order.service).is_bad(order.target):
+            return version
+        if pin.version == order.target or _find_progress(timed) < MOVE_AT:
+            return pin.version
+        return version
+
+
+class RolloutJudge:
+    """Writes the status of roll-outs, by whichever entry is first."""
+
+    def __init__(
+        self,
+        rollouts: Rollouts,
+        operators: OperatorBook,
+        topic: Topic,
+        decoder: Decoder,
+        feed: Feed,
+    ) -> None:
+        """Keep the parts; check() is called often."""
+        self._rollouts = rollouts
+        self._operators = operators
+        self._topic = topic
+        self._decoder = decoder
+        self._feed = feed
+
+    def check(self) -> None:
+        """Decide the running roll-outs once."""
+        for timed in self._operators.orders():
+            order = timed.order
+            if self._rollouts.find_state(order.service, order.target) in {
+                State.done,
+                State.back,
+            }:
+                continue
+            state = self._judge(timed)
+            if state is not None:
+                self._write(timed, state)
+
+    def _judge(self, timed: TimedOrder) -> State | None:
+        order = timed.order
+        evidence = self._rollouts.evidence(order.service)
+        progress = _find_progress(timed)
+        if evidence.is_bad(order.target):
+            return State.back
+        if progress >= COMPLETE_AT and evidence.is_good(order.target):
+            return State.done
+        if progress >= GIVE_UP_AT:
+            return State.back
+        return None
+
+    def _write(self, timed: TimedOrder, state: State) -> None:
+        order = timed.order
+        end = self._feed.find_end()
+        if end is None:
+            return
+        status = RolloutStatus(order.service, str(state), order.target)
+        key, content = self._decoder.encode_status(status)
+        try:
+            is_first = self._topic.append(key, content, end)
+        except LogDownError as error:
+            logger.warning('status not written', why=error.text)
+            return
+        evidence = self._rollouts.evidence(order.service)
+        logger.info(
+            'roll-out decided',
+            service=order.service,
+            target=order.target,
+            state=str(state),
+            written=is_first,
+            progress=round(_find_progress(timed), 3),
+            new=evidence.count(order.target),
+        )
+
+
+def _find_progress(timed: TimedOrder) -> float:
+    """Return the part of the order's time that has passed."""
+    return (read_clock() - timed.seen) / max(1.0, timed.order.duration)
--- /dev/null
+++ b/src/toucancourse/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Names, formats and calls of the users' platform; it decides nothing."""
--- a/src/toucancourse/web/health.py
+++ b/src/toucancourse/web/health.py
@@ -15,11 +15,13 @@
         self,
         find_problem: Callable[[], str],
         describe: Callable[[], Mapping[str, object]],
+        ready_path: str = '/readyz',
     ) -> None:
         """Keep a check that returns why the daemon isn't ready, or ''.
 
         What describe returns is shown beside it.
         """
+        self._ready_path = ready_path
         self._find_problem = find_problem
         self._describe = describe
 
@@ -27,7 +29,7 @@
         """Return the answer for a path, or None if it is not ours."""
         if path == '/healthz':
             return make_json({'status': 'alive'})
-        if path == '/readyz':
+        if path == self._ready_path:
             problem = self._find_problem()
             status = HTTPStatus.OK
             if problem:
--- a/src/toucancourse/web/server.py
+++ b/src/toucancourse/web/server.py
@@ -29,15 +29,13 @@
     def __init__(
         self,
         application: Application,
-        address: str,
+        addresses: tuple[str, ...],
         bounds: Bounds,
     ) -> None:
-        """Bind the address; start() serves."""
-        host, _, port = address.rpartition(':')
+        """Bind the addresses; start() serves."""
         self._server: Any = create_server(
             application,
-            host=host,
-            port=int(port),
+            listen=' '.join(addresses),
             threads=bounds.threads,
             connection_limit=bounds.threads + EXTRA_CONNECTIONS,
             asyncore_use_poll=True,
@@ -54,7 +52,7 @@
             backlog=1024,
         )
         self._thread = threading.Thread(
-            target=self._run, name=f'http {address}', daemon=True
+            target=self._run, name=f'http {addresses[0]}', daemon=True
         )
 
     def start(self) -> None:
