--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -45,8 +45,10 @@
 #: Pause between reads of the endpoints' records, so that one read carries
 #: those of many; drained endpoints must be left within two seconds.
 ENDPOINT_PAUSE: Final = 0.3
-#: The balancer asks once a second and needs two misses.
-LEAVE_SECONDS: Final = 3.2
+#: The balancer asks once a second and needs two misses; later requests come
+#: on kept connections only, and might not end within the grace period.
+LEAVE_SECONDS: Final = 2.6
+DRAIN_CHECK_SECONDS: Final = 0.05
 #: Time kept back from the grace period for the process's end, in seconds.
 END_MARGIN: Final = 0.8
 #: Share of the retry budget that is used: arrivals that others count as
@@ -139,12 +141,11 @@
         end = began + self._settings.grace - END_MARGIN
         logger.info('draining', running=self._ingress.count_running())
         _start_thread(self._leave)
-        while time.monotonic() < end:
-            waited = time.monotonic() - began
-            running = self._ingress.count_running()
-            if waited >= LEAVE_SECONDS and not running:
-                break
-            time.sleep(0.05)
+        time.sleep(LEAVE_SECONDS)
+        self._ingress.close_idle()
+        while time.monotonic() < end and self._ingress.count_running():
+            time.sleep(DRAIN_CHECK_SECONDS)
+            self._ingress.close_idle()
         logger.info(
             'stopped',
             seconds=round(time.monotonic() - began, 2),
--- a/src/toucancourse/forwarding/evidence.py
+++ b/src/toucancourse/forwarding/evidence.py
@@ -18,12 +18,21 @@
 PRIOR_SHARE: Final = 0.01
 PRIOR_ANSWERS: Final = 10.0
 #: An answer this many times slower than usual is a bad one.
-SLOW_RATIO: Final = 3.5
+SLOW_RATIO: Final = 4.0
 #: Least usual time in seconds, below which ratios are noise.
 MIN_USUAL: Final = 0.1
 USUAL_STEP: Final = 0.1
 
 
+class Work(NamedTuple):
+    """What makes two answers comparable in time."""
+
+    route: str
+    model: str
+    #: Binary digits of the prompt tokens that the endpoint had to read.
+    size: int
+
+
 class Count(NamedTuple):
     """Answers of one version."""
 
@@ -38,8 +47,8 @@
         """Start with none."""
         self._lock = threading.Lock()
         self._counts: dict[str, Count] = defaultdict(Count)
-        #: Route and model -> usual time to an answer, in seconds.
-        self._usual: dict[tuple[str, str], float] = {}
+        #: Usual time to an answer, in seconds.
+        self._usual: dict[Work, float] = {}
 
     def clear(self) -> None:
         """Forget the counts when a roll-out begins."""
@@ -53,12 +62,12 @@
     def note_answer(
         self,
         version: str,
-        work: tuple[str, str],
+        work: Work,
         seconds: float,
         *,
         is_new: bool,
     ) -> None:
-        """Count an answer to a route's work by a model, and its time."""
+        """Count an answer and its time; is_new if the version is tried."""
         usual = self._usual.get(work)
         is_slow = (
             is_new
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -21,6 +21,7 @@
 from .admission import Admission, Admitted, Choice, check_time
 from .connections import Connections, Exchange, NotSentError, SilentError
 from .events import EventSplitter
+from .evidence import Work
 from .messages import Codec, RawRequest
 from .metrics import ForwardingMetrics
 from .models import Models, is_good_enough, list_models
@@ -394,7 +395,7 @@
         route = self._admitted.route
         if not isinstance(error, _RETRYABLE):
             return False
-        if time.monotonic() + MIN_LEFT_SECONDS >= self._limit:
+        if self._is_late():
             return False
         if self._runs and not route.is_repeatable():
             return False
@@ -418,12 +419,19 @@
         if self._has_begun:
             self._reply.abort()
             raise EndpointError(f'the stream broke off: {error.text}')
-        if self._runs and error.outcome is Outcome.not_run:
-            if isinstance(error, DeadlineError):
-                raise DeadlineError(error.text)
+        if isinstance(error, SilentError) and self._is_late():
+            raise DeadlineError(f'no answer in time: {error.text}')
+        if (
+            self._runs
+            and error.outcome is Outcome.not_run
+            and not isinstance(error, DeadlineError)
+        ):
             raise EndpointError(error.text)
         raise error
 
+    def _is_late(self) -> bool:
+        return time.monotonic() + MIN_LEFT_SECONDS >= self._limit
+
     def _check_caller(self) -> None:
         if self._reply.is_gone():
             raise CallerGoneError('the caller closed its connection')
@@ -442,7 +450,14 @@
         endpoint.note_pace(seconds / usual)
         is_new = self._parts.rollouts.is_trial(choice.service, choice.version)
         self._parts.rollouts.evidence(choice.service).note_answer(
-            choice.version, (route.name, attempt.model), seconds, is_new=is_new
+            choice.version,
+            Work(
+                route.name,
+                attempt.model,
+                choice.scored.fresh_tokens.bit_length(),
+            ),
+            seconds,
+            is_new=is_new,
         )
         self._parts.rollouts.note_session(
             choice.service, self._call.session, choice.version
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -20,8 +20,10 @@
 #: Share of new sessions that try a version; operators bound it to 0.15 of all
 #: requests, and the rest is left for the move to a version that turns bad.
 TRIAL_SHARE: Final = 0.08
-#: Part of the order's time after which a good version gets all new work.
-MOVE_AT: Final = 0.78
+#: Parts of the order's time between which a good version's share of new
+#: sessions grows from the trial's to all.
+MOVE_FROM: Final = 0.64
+MOVE_TO: Final = 0.82
 #: Part after which a good version is completed; work on the old one has
 #: ended by then.
 COMPLETE_AT: Final = 0.92
@@ -138,8 +140,8 @@
         if evidence.is_bad(order.target):
             return old
         share = TRIAL_SHARE
-        if _find_progress(timed) >= MOVE_AT and evidence.is_good(order.target):
-            share = 1.0
+        if evidence.is_good(order.target):
+            share = _find_share(_find_progress(timed))
         drawn = hashlib.blake2b(
             f'{order.service}\0{order.target}\0{seed}'.encode(), digest_size=4
         )
@@ -161,7 +163,7 @@
             return version
         if self.evidence(order.service).is_bad(order.target):
             return version
-        if pin.version == order.target or _find_progress(timed) < MOVE_AT:
+        if pin.version == order.target or _find_progress(timed) < MOVE_FROM:
             return pin.version
         return version
 
@@ -233,6 +235,12 @@
         )
 
 
+def _find_share(progress: float) -> float:
+    """Return a good version's share of new sessions."""
+    moved = (progress - MOVE_FROM) / (MOVE_TO - MOVE_FROM)
+    return max(TRIAL_SHARE, min(1.0, moved))
+
+
 def _find_progress(timed: TimedOrder) -> float:
     """Return the part of the order's time that has passed."""
     return (read_clock() - timed.seen) / max(1.0, timed.order.duration)
--- a/src/toucancourse/web/ingress.py
+++ b/src/toucancourse/web/ingress.py
@@ -261,7 +261,10 @@
         """Bind the address; start() serves."""
         host, _, port = address.rpartition(':')
         self.handler = handler
+        #: True once answers end their connections.
         self.is_draining = False
+        #: True once idle connections and new ones are closed.
+        self.is_closed = False
         self.idle_seconds = 60.0
         adjustments = Adjustments(
             host=host,
@@ -301,12 +304,32 @@
         The time of day that waitress gives may jump, so it isn't used.
         """
         horizon = time.monotonic() - self.idle_seconds - IDLE_MARGIN
+        if self.is_closed:
+            horizon = float('inf')
+            self._stop_listening()
         for channel in tuple(self.active_channels.values()):
             if not channel.last_used:
                 channel.last_used = time.monotonic()
-            if not channel.requests and channel.last_used < horizon:
+            is_idle = not channel.requests and channel.request is None
+            if is_idle and channel.last_used < horizon:
                 channel.will_close = True
 
+    def close_idle(self) -> None:
+        """Close idle connections now and take no new ones.
+
+        Called again and again until none is left, since a request may be
+        running on any of them.
+        """
+        self.is_closed = True
+        self.next_channel_cleanup = 0
+        self.pull_trigger()
+
+    def _stop_listening(self) -> None:
+        if self.accepting:
+            self.accepting = False
+            self.del_channel()
+            self.socket.close()
+
     def count_running(self) -> int:
         """Return the requests that are not answered yet."""
         return sum(
