Refuse requests that come after the drain's end

Cause: an answer that began before SIGTERM left its connection open, and the next request on it was taken though it could not end in time (LOST). Change: such connections end with their answer; later requests get 503.

--- a/src/toucancourse/web/ingress.py
+++ b/src/toucancourse/web/ingress.py
@@ -20,7 +20,7 @@
 from waitress.server import TcpWSGIServer
 from waitress.task import Task
 
-from ..errors import CourseError
+from ..errors import CourseError, LeavingError
 from ..forwarding.messages import RawRequest
 from ..forwarding.objects import Headers
 from ..forwarding.replies import CallerGoneError, Reply
@@ -89,6 +89,8 @@
     def finish(self) -> None:
         """End the answer as a complete one."""
         self._write(b'0\r\n\r\n')
+        if self._channel.server.is_draining:
+            self._task.close_on_finish = True
 
     def abort(self) -> None:
         """Close the connection, so that the answer shows as cut off."""
@@ -139,8 +141,11 @@
     def execute(self) -> None:
         """Answer the request."""
         reply = ChannelReply(self)
+        server = self.channel.server
         try:
-            self.channel.server.handler(self._read(), reply)
+            if server.is_closed:
+                raise LeavingError('the instance is shutting down')
+            server.handler(self._read(), reply)
         except CallerGoneError:
             self.close_on_finish = True
         except CourseError as error:
