--- a/src/toucancourse/daemon/logs.py
+++ b/src/toucancourse/daemon/logs.py
@@ -4,7 +4,6 @@
 import logging
 import sys
 import threading
-import time
 from collections import deque
 from typing import TYPE_CHECKING, Final
 
@@ -30,6 +29,7 @@
         """Start a thread that writes."""
         self._lines: deque[str] = deque()
         self._dropped = 0
+        self._stopped = threading.Event()
         self._thread = threading.Thread(
             target=self._run, name='logs', daemon=True
         )
@@ -42,6 +42,12 @@
             return
         self._lines.append(_make_line(message))
 
+    def close(self) -> None:
+        """Write all lines that wait and end the thread."""
+        self._stopped.set()
+        self._thread.join()
+        self.flush()
+
     def flush(self) -> None:
         """Write all lines that wait."""
         dropped, self._dropped = self._dropped, 0
@@ -54,8 +60,7 @@
             sys.stdout.flush()
 
     def _run(self) -> None:
-        while True:
-            time.sleep(FLUSH_SECONDS)
+        while not self._stopped.wait(FLUSH_SECONDS):
             self.flush()
 
 
--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -91,11 +91,11 @@
         node.start()
     except OSError as error:
         logger.error('the daemon did not start', why=repr(error))
-        writer.flush()
+        writer.close()
         return EXIT_FAILED
     asked.wait()
     node.drain()
-    writer.flush()
+    writer.close()
     # Threads of requests that did not end in time must not hold it up.
     os._exit(0)
 
--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -19,6 +19,7 @@
 from ..forwarding.rollouts import RolloutJudge, Rollouts
 from ..forwarding.selection import COLD_SHARE, Chooser
 from ..forwarding.tables import OperatorBook
+from ..ingress.server import IngressBounds, IngressServer
 from ..membership.feeds import Feed, Pace
 from ..platform import names
 from ..platform.messages import PlatformCodec
@@ -27,7 +28,6 @@
 from ..platform.store import StoreTopic
 from ..routing.endpoints import Outliers
 from ..web.health import Health
-from ..web.ingress import IngressBounds, IngressServer
 from ..web.server import Bounds, Server
 
 #: Where metrics are served; the deploy file names the same.
@@ -80,6 +80,7 @@
         )
         self._budgets: dict[str, WindowBudget] = defaultdict(self._make_budget)
         self._leaving = threading.Event()
+        self._stopped = threading.Event()
         outliers = Outliers()
         chooser = Chooser(settings.zone, outliers, self._find_cold_rate)
         self._relay = Relay(
@@ -146,6 +147,7 @@
         while time.monotonic() < end and self._ingress.count_running():
             time.sleep(DRAIN_CHECK_SECONDS)
             self._ingress.close_idle()
+        self._stopped.set()
         logger.info(
             'stopped',
             seconds=round(time.monotonic() - began, 2),
@@ -199,7 +201,7 @@
             return 'leaving'
         if self._operators.table is None:
             return 'no configuration is known'
-        if not self._endpoints.is_known:
+        if not self._endpoints.is_settled:
             return 'no endpoints are known'
         if self._operator_feed.age() > PROOF_SHARE * self._settings.revocation:
             return 'the configuration may be out of date'
@@ -237,8 +239,7 @@
         self._entries.leave(self._status_topic, self._status_feed)
 
     def _tick(self) -> None:
-        while True:
-            time.sleep(TICK_SECONDS)
+        while not self._stopped.wait(TICK_SECONDS):
             self._judge.check()
             self._connections.sweep()
             self._metrics.proof_age.set(self._operator_feed.age())
--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -19,6 +19,8 @@
 STALE_RETRY_SECONDS: Final = 0.3
 #: Seconds after which endpoints that could not be reached are tried again.
 BUSY_RETRY_SECONDS: Final = 0.4
+#: Parts that a route's split is drawn from.
+SPLIT_STEPS: Final = 10_000
 #: Ranks an endpoint knows; 5 is its own default.
 RANKS: Final = 10
 
@@ -145,7 +147,7 @@
         return route.shares[0].service
     total = sum(share.weight for share in route.shares) or 1.0
     seed = call.session or call.identifier
-    place = (hash_text(seed) % 10_000) / 10_000 * total
+    place = (hash_text(seed) % SPLIT_STEPS) / SPLIT_STEPS * total
     for share in route.shares:
         place -= share.weight
         if place < 0 and share.weight > 0:
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -56,7 +56,7 @@
 
     def begin(self) -> None:
         """Read the answer's start."""
-        self.reader = cast(BufferedReader, self.fp)
+        self.reader = self.fp
         super().begin()
         self.is_framed = bool(self.chunked) or self.length is not None
 
@@ -207,13 +207,11 @@
     def release(self) -> HTTPConnection | None:
         """Return the connection if another request may use it, else close."""
         response = self._response
-        if (
-            not self.is_complete
-            or self._cancelled
-            or response is None
-            or response.will_close
-            or response.has_excess(self._sock)
-        ):
+        is_over = self.is_complete and not self._cancelled
+        if response is None or not is_over:
+            self.close()
+            return None
+        if response.will_close or response.has_excess(self._sock):
             self.close()
             return None
         response.close()
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -22,6 +22,8 @@
 LOAD_HALF_LIFE_SECONDS: Final = 0.5
 #: Weight of the newest answer in an endpoint's usual time.
 PACE_STEP: Final = 0.2
+#: A single answer counts at most this many times the usual one.
+MAX_PACE: Final = 20.0
 #: Pause before an endpoint that could not be reached is tried again.
 FIRST_PAUSE_SECONDS: Final = 0.3
 MAX_PAUSE_SECONDS: Final = 2.4
@@ -91,7 +93,7 @@
 
     def note_pace(self, ratio: float) -> None:
         """Take observed over expected time of one answer."""
-        self.pace += PACE_STEP * (min(ratio, 20.0) - self.pace)
+        self.pace += PACE_STEP * (min(ratio, MAX_PACE) - self.pace)
 
     def note_unreachable(self) -> None:
         """Leave the endpoint alone for a while, longer each time."""
@@ -164,7 +166,6 @@
         self._on_gone = on_gone
         self._endpoints: dict[str, Endpoint] = {}
         self._returned = float('-inf')
-        self.is_known = False
 
     def list_service(self, service: str) -> list[Endpoint]:
         """Return the endpoints of a service that are not leaving."""
@@ -197,11 +198,12 @@
 
     def note_return(self) -> None:
         """Keep entries that lapsed in an outage for a while."""
+        super().note_return()
         self._returned = time.monotonic()
 
     def settle(self) -> None:
         """Drop the entries that did not come back in time."""
-        self.is_known = True
+        super().settle()
         now = time.monotonic()
         for key, endpoint in tuple(self._endpoints.items()):
             lapsed = endpoint.lapsed_at
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -132,7 +132,6 @@
         self._models = list_models(admitted.route, self._call)
         service = admitted.route.shares[0].service
         self._parts.find_budget(service).note_request()
-        last: CourseError | None = None
         while True:
             try:
                 if self._attempt():
@@ -140,7 +139,6 @@
             except CallerGoneError:
                 raise
             except CourseError as error:
-                last = error
                 if not self._may_go_on(error):
                     self._fail(error)
 
@@ -155,8 +153,8 @@
             route=route,
             account=self._admitted.account.name if self._admitted else '',
             code=code,
-            status=self._status or (error.status if error else 0),
-            why=error.text if error else '',
+            status=self._status or getattr(error, 'status', 0),
+            why=getattr(error, 'text', ''),
             sends=self._sends,
             runs=self._runs,
             seconds=round(seconds, 4),
@@ -203,10 +201,15 @@
             self._note_failure(attempt, error)
             raise
         finally:
-            self._reply.watch(None)
-            endpoint.begin(pending)
-            endpoint.leave()
-            self._parts.connections.keep(endpoint.record, attempt.exchange)
+            self._leave(attempt, pending)
+
+    def _leave(self, attempt: _Try, pending: float) -> None:
+        """End an attempt; pending tokens have had no first event."""
+        endpoint = attempt.choice.endpoint
+        self._reply.watch(None)
+        endpoint.begin(pending)
+        endpoint.leave()
+        self._parts.connections.keep(endpoint.record, attempt.exchange)
 
     def _open(
         self,
@@ -300,7 +303,7 @@
         """Hand the answer on; return False if it is dropped."""
         assert self._admitted is not None
         route = self._admitted.route
-        is_success = 200 <= head.status < 300
+        is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_success and not head.is_signed:
             raise EndpointError('the answer is not signed')
         if not is_success:
--- a/src/toucancourse/forwarding/tables.py
+++ b/src/toucancourse/forwarding/tables.py
@@ -111,9 +111,7 @@
         self._index = _Index(
             table,
             {
-                host: tuple(
-                    sorted(routes, key=lambda row: -len(row.prefix)),
-                )
+                host: tuple(sorted(routes, key=_rank_route))
                 for host, routes in hosts.items()
             },
         )
@@ -145,3 +143,8 @@
             service=change.service,
             target=change.order.target if change.order else None,
         )
+
+
+def _rank_route(route: Route) -> int:
+    """Return a key that sorts long prefixes first."""
+    return -len(route.prefix)
--- /dev/null
+++ b/src/toucancourse/ingress/__init__.py
@@ -0,0 +1,1 @@
+"""Callers' requests and answers as they are on the wire."""
--- a/src/toucancourse/membership/feeds.py
+++ b/src/toucancourse/membership/feeds.py
@@ -22,15 +22,22 @@
 class Listener(ABC):
     """Told of each key's newest record, by one thread."""
 
+    #: True once all records up to the end were applied.
+    is_settled = False
+    #: How often the store came back after a failure.
+    returns = 0
+
     @abstractmethod
     def apply(self, key: str, content: bytes | None) -> None:
         """Take the newest content of a key, or None if it was dropped."""
 
     def note_return(self) -> None:
         """Take note that the store is back; its records follow."""
+        self.returns += 1
 
     def settle(self) -> None:
         """Take note that all records up to the end were applied."""
+        self.is_settled = True
 
 
 class Pace(NamedTuple):
@@ -92,13 +99,14 @@
 
     def _step(self) -> None:
         began = read_clock()
-        if self._next is None:
+        start = self._next
+        if start is None:
             page = self._topic.fetch_newest()
             self._note_up()
-            self._synchronize(page)
+            reached = self._synchronize(page)
         else:
             try:
-                page = self._topic.read(self._next, WAIT_SECONDS)
+                page = self._topic.read(start, WAIT_SECONDS)
             except ExpiredError as error:
                 logger.info('feed restarts', feed=self._name, why=error.text)
                 self._next = None
@@ -106,11 +114,11 @@
             self._note_up()
             for record in page.records:
                 self._take(record)
-            self._next += len(page.records)
-        if self._next < page.end:
-            return
-        self._listener.settle()
-        self.proof = max(self.proof, began)
+            reached = start + len(page.records)
+        self._next = reached
+        if reached >= page.end:
+            self._listener.settle()
+            self.proof = max(self.proof, began)
 
     def _note_up(self) -> None:
         if self._is_down:
@@ -118,14 +126,16 @@
             logger.info('dependency back', dependency=self._name)
             self._listener.note_return()
 
-    def _synchronize(self, page: Records) -> None:
+    def _synchronize(self, page: Records) -> int:
+        """Take the newest records; return the offset after them."""
         present = {record.key for record in page.records}
-        for key in [key for key in self._offsets if key not in present]:
+        gone = set(self._offsets) - present
+        for key in gone:
             self._offsets.pop(key)
             self._listener.apply(key, None)
         for record in page.records:
             self._take(record)
-        self._next = page.end
+        return page.end
 
     def _take(self, record: Record) -> None:
         if record.offset <= self._offsets.get(record.key, -1):
--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -1,6 +1,7 @@
 """Decodes callers' requests and encodes them for endpoints."""
 
 from collections.abc import Iterable, Mapping
+from http import HTTPStatus
 
 from ..forwarding.messages import Codec, RawRequest
 from ..forwarding.objects import (
@@ -81,7 +82,7 @@
             call=fields.get(names.CALL_ID.lower(), ''),
             is_signed=names.SIGNATURE.lower() in fields,
             not_run=not_run,
-            misdirected=status == 421,
+            misdirected=status == HTTPStatus.MISDIRECTED_REQUEST,
             load=_decode_load(fields.get(names.LOAD.lower(), '')),
             confidence=_read_number(fields, names.CONFIDENCE, 100),
             cold_seconds=_read_number(fields, names.COLD, MS),
--- a/src/toucancourse/platform/records.py
+++ b/src/toucancourse/platform/records.py
@@ -33,6 +33,10 @@
 DRAINING: Final = 'draining'
 STATES: Final = frozenset(('ready', DRAINING))
 MS: Final = 1000.0
+#: Limits of callers where a configuration states none.
+HEADER_BYTES: Final = 16_384
+BODY_BYTES: Final = 4_194_304
+IDLE_MS: Final = 15_000
 ROLLOUT_STATES: Final = {
     'running': 'in_progress',
     'done': 'completed',
@@ -188,7 +192,7 @@
 
 def _decode_limits(row: Mapping[str, Any]) -> CallerLimits:
     return CallerLimits(
-        header_bytes=int(row.get('maxHeaderBytes') or 16_384),
-        body_bytes=int(row.get('maxBodyBytes') or 4_194_304),
-        idle_seconds=float(row.get('idleTimeoutMs') or 15_000) / MS,
+        header_bytes=int(row.get('maxHeaderBytes') or HEADER_BYTES),
+        body_bytes=int(row.get('maxBodyBytes') or BODY_BYTES),
+        idle_seconds=float(row.get('idleTimeoutMs') or IDLE_MS) / MS,
     )
--- a/src/toucancourse/platform/settings.py
+++ b/src/toucancourse/platform/settings.py
@@ -2,11 +2,17 @@
 
 import tomllib
 from collections.abc import Mapping
-from typing import Any, NamedTuple
+from typing import Any, Final, NamedTuple
 
 from ..settings.files import SettingsError
 
-MS = 1000.0
+MS: Final = 1000.0
+#: Values of bounds that a file may leave out; the strict side of each.
+REVOCATION_MS: Final = 5000.0
+SESSION_SECONDS: Final = 5.0
+RETRY_SHARE: Final = 0.2
+RETRY_EXTRA: Final = 10.0
+RETRY_WINDOW: Final = 10.0
 
 
 class NodeSettings(NamedTuple):
@@ -73,11 +79,12 @@
             descriptors=int(self._number('limits', 'fileDescriptors')),
             store=self._address('platform', 'address'),
             grace=self._number('bounds', 'gracePeriodS'),
-            revocation=self._number('bounds', 'revocationMs', 5000) / MS,
-            session=self._number('bounds', 'sessionTtlS', 5),
-            retry_share=self._number('bounds', 'retryBudgetRatio', 0.2),
-            retry_extra=self._number('bounds', 'retryBudgetExtra', 10),
-            retry_window=self._number('bounds', 'retryWindowS', 10),
+            revocation=self._number('bounds', 'revocationMs', REVOCATION_MS)
+            / MS,
+            session=self._number('bounds', 'sessionTtlS', SESSION_SECONDS),
+            retry_share=self._number('bounds', 'retryBudgetRatio', RETRY_SHARE),
+            retry_extra=self._number('bounds', 'retryBudgetExtra', RETRY_EXTRA),
+            retry_window=self._number('bounds', 'retryWindowS', RETRY_WINDOW),
             cold_factor=self._number('bounds', 'coldOverrun', 1),
             cold_excess=self._number('bounds', 'coldTolerance', 0),
         )
--- a/src/toucancourse/platform/store.py
+++ b/src/toucancourse/platform/store.py
@@ -139,7 +139,7 @@
     offset = start
     found: list[Record] = []
     while place < len(body):
-        (length,) = LENGTH.unpack_from(body, place)
+        length = LENGTH.unpack_from(body, place)[0]
         place += LENGTH.size
         record = body[place : place + length]
         place += length
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -105,7 +105,9 @@
             """Ignore callers that vanish."""
 
     server = Server(('127.0.0.1', port), Handler)
-    threading.Thread(target=server.serve_forever, daemon=True).start()
+    threading.Thread(
+        target=server.serve_forever, args=(0.05,), daemon=True
+    ).start()
     return server
 
 
