Give the sending of a request its own time

Ruled out: a stuck channel; its task was waiting for the endpoint. Change: the time for the answer's start covers the sending, too.

--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -7,6 +7,8 @@
 from io import BufferedReader
 from typing import Any, Final, NamedTuple, cast
 
+from loguru import logger
+
 from ..errors import CourseError, EndpointError, Outcome
 from .messages import Codec
 from .objects import Call, EndpointRecord, Head, Headers, Order
@@ -104,14 +106,16 @@
         self.is_complete = False
         self.head: Head | None = None
 
-    def send(self, order: Order) -> None:
-        """Send the request.
+    def send(self, order: Order, until: float) -> None:
+        """Send the request, whole by a time.monotonic().
 
-        Raises NotSentError if no byte can have reached the endpoint.
+        Raises NotSentError if no byte can have reached the endpoint, and
+        SilentError if the endpoint stopped to read.
         """
         connection = self._connection
         call = self._call
         try:
+            self._limit(until)
             connection.putrequest(
                 call.method,
                 call.target,
@@ -123,10 +127,13 @@
             if call.body or call.method not in {'GET', 'HEAD', 'DELETE'}:
                 connection.putheader('Content-Length', str(len(call.body)))
             connection.endheaders(call.body or None)
+        except TimeoutError as error:
+            raise SilentError('the request was not read in time') from error
         except OSError as error:
             # The endpoint may have answered before it read all.
-            if isinstance(error, TimeoutError):
-                raise EndpointError(f'request not sent: {error!r}') from error
+            logger.debug(
+                'request cut short', call=call.identifier, why=repr(error)
+            )
         except (HTTPException, ValueError) as error:
             raise NotSentError(f'request not sendable: {error!r}') from error
 
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -256,12 +256,13 @@
         """Return the start of the endpoint's answer."""
         exchange = attempt.exchange
         self._runs += 1
+        until = self._find_patience()
         try:
-            exchange.send(attempt.order)
+            exchange.send(attempt.order, until)
         except NotSentError:
             self._runs -= 1
             raise
-        head = exchange.read_head(self._find_patience())
+        head = exchange.read_head(until)
         endpoint = attempt.choice.endpoint
         if head.load is not None:
             endpoint.note_load(head.load)
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -34,10 +34,13 @@
         self.pace = 0.005
         #: Event at which a stream is cut off, or 0.
         self.cut_at = 0
-        self.connections = 0
+        #: Pause before a request's body is read, in seconds.
+        self.read_pause = 0.0
         #: Requests that broke off because their caller left.
         self.left = threading.Semaphore(0)
-        self._server: ThreadingHTTPServer = serve(self.port, self._route)
+        self._server: ThreadingHTTPServer = serve(
+            self.port, self._route, self._await_body
+        )
 
     def record(self, **changes: Any) -> bytes:
         """Return the replica's entry in the store."""
@@ -63,6 +66,9 @@
         self._server.shutdown()
         self._server.server_close()
 
+    def _await_body(self) -> None:
+        time.sleep(self.read_pause)
+
     def _route(self, call: Call) -> None:
         headers = call.handler.headers
         if headers.get('X-Expected-Instance') not in {None, self.identifier}:
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -77,8 +77,15 @@
             return [dict(row) for row in self._rows]
 
 
-def serve(port: int, route: Callable[[Call], None]) -> ThreadingHTTPServer:
-    """Serve in threads; return the running server."""
+def serve(
+    port: int,
+    route: Callable[[Call], None],
+    await_body: Callable[[], None] | None = None,
+) -> ThreadingHTTPServer:
+    """Serve in threads; return the running server.
+
+    await_body is called before the body of a request is read.
+    """
 
     class Handler(BaseHTTPRequestHandler):
         protocol_version = 'HTTP/1.1'
@@ -87,6 +94,8 @@
 
         def do_any(self) -> None:
             try:
+                if await_body is not None:
+                    await_body()
                 route(Call(self))
                 self.wfile.flush()
             except (ConnectionError, ValueError):
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -86,6 +86,15 @@
         assert caller.error is not None
         assert caller.error.status == 502
 
+    def test_large_body_goes_over_a_kept_connection(self, desk: Desk) -> None:
+        body = bytes(3_000_000)
+        for replica in desk.replicas:
+            replica.read_pause = 0.1
+        desk.send('/look/x')
+        desk.send('/look/x')
+        assert desk.send('/look/x', body=body).status == 200
+        assert any(run['body'] == body for run in desk.runs())
+
     def test_connection_is_used_again(self, desk: Desk) -> None:
         for _ in range(10):
             desk.send('/book/x')
