--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -42,12 +42,14 @@
 MAX_BODY_BYTES: Final = 4_194_304
 #: How often roll-outs, idle connections and gauges are looked at, seconds.
 TICK_SECONDS: Final = 0.25
-#: How the topics are read. Keys are served with a proof of a few seconds only,
-#: so the operators' topic is read again and again. Drained endpoints must be
-#: left within two seconds, and one read carries the records of many.
-OPERATOR_PACE: Final = Pace(wait=1.3, pause=0)
-ENDPOINT_PACE: Final = Pace(wait=2.0, pause=0.6)
-STATUS_PACE: Final = Pace(wait=10.0, pause=0)
+#: Longest waits of one read of a topic, in seconds. Keys are served with a
+#: proof of a few seconds only, so the operators' topic is asked often.
+OPERATOR_WAIT: Final = 1.3
+ENDPOINT_WAIT: Final = 2.0
+STATUS_WAIT: Final = 10.0
+#: Pause between reads of the endpoints' records, so that one carries those of
+#: many; drained endpoints must be left within two seconds.
+ENDPOINT_PAUSE: Final = 0.6
 #: The balancer asks once a second and needs two misses; later requests come
 #: on kept connections only, and might not end within the grace period.
 LEAVE_SECONDS: Final = 2.6
@@ -164,19 +166,19 @@
             'operators',
             StoreTopic(store, names.OPERATOR_TOPIC),
             self._operators,
-            OPERATOR_PACE,
+            Pace(OPERATOR_WAIT, 0),
         )
         self._endpoint_feed = Feed(
             'endpoints',
             StoreTopic(store, names.ENDPOINT_TOPIC),
             self._endpoints,
-            ENDPOINT_PACE,
+            Pace(ENDPOINT_WAIT, ENDPOINT_PAUSE),
         )
         self._status_feed = Feed(
             'statuses',
             StoreTopic(store, names.STATUS_TOPIC),
             Listeners(self._rollouts, self._entries),
-            STATUS_PACE,
+            Pace(STATUS_WAIT, 0),
         )
 
     def _build_servers(self) -> None:
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -335,8 +335,6 @@
         return True
 
     def _take_stream(self, attempt: _Try, head: Head) -> bool:
-        assert self._admitted is not None
-        route = self._admitted.route
         if not self._has_begun and not self._is_good_enough(head):
             return self._drop(attempt, head)
         splitter = EventSplitter()
