--- a/src/toucancourse/forwarding/evidence.py
+++ b/src/toucancourse/forwarding/evidence.py
@@ -17,8 +17,6 @@
 #: Share of bad answers that is assumed of any version.
 PRIOR_SHARE: Final = 0.01
 PRIOR_ANSWERS: Final = 10.0
-#: An answer this many times slower than usual is a bad one.
-SLOW_RATIO: Final = 4.0
 #: Least usual time in seconds, below which ratios are noise.
 MIN_USUAL: Final = 0.1
 USUAL_STEP: Final = 0.1
@@ -64,17 +62,18 @@
         version: str,
         work: Work,
         seconds: float,
-        *,
-        is_new: bool,
+        slow_ratio: float | None,
     ) -> None:
-        """Count an answer and its time; is_new if the version is tried."""
+        """Count an answer and its time.
+
+        A version that is tried is bad if it takes slow_ratio times as long
+        as usual; the others, with None, make up what is usual.
+        """
         usual = self._usual.get(work)
-        is_slow = (
-            is_new
-            and usual is not None
-            and seconds > SLOW_RATIO * max(MIN_USUAL, usual)
-        )
-        if not is_new:
+        is_slow = False
+        if slow_ratio is not None and usual is not None:
+            is_slow = seconds > slow_ratio * max(MIN_USUAL, usual)
+        if slow_ratio is None:
             if usual is None:
                 usual = seconds
             self._usual[work] = usual + USUAL_STEP * (seconds - usual)
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -455,16 +455,11 @@
             (route.name, attempt.model), seconds
         )
         endpoint.note_pace(seconds / usual)
-        is_new = self._parts.rollouts.is_trial(choice.service, choice.version)
-        self._parts.rollouts.evidence(choice.service).note_answer(
-            choice.version,
-            Work(
-                route.name,
-                attempt.model,
-                choice.scored.fresh_tokens.bit_length(),
-            ),
-            seconds,
-            is_new=is_new,
+        work = Work(
+            route.name, attempt.model, choice.scored.fresh_tokens.bit_length()
+        )
+        self._parts.rollouts.note_answer(
+            choice.service, choice.version, work, seconds
         )
         self._parts.rollouts.note_session(
             choice.service, self._call.session, choice.version
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -13,7 +13,7 @@
 from ..membership.clock import read_clock
 from ..membership.feeds import Feed, Listener
 from ..membership.topics import Topic
-from .evidence import Evidence
+from .evidence import Evidence, Work
 from .records import Decoder, RolloutStatus
 from .tables import OperatorBook, TimedOrder
 
@@ -29,6 +29,10 @@
 COMPLETE_AT: Final = 0.92
 #: Part after which a version that was not seen enough is turned back.
 GIVE_UP_AT: Final = 0.97
+#: An answer of a tried version this many times slower than usual is bad.
+SLOW_RATIO: Final = 4.0
+#: The same once work moves there, where caches are cold and load is new.
+MOVED_SLOW_RATIO: Final = 12.0
 #: Sessions remembered.
 MAX_SESSIONS: Final = 5000
 SHARE_STEPS: Final = 10_000
@@ -91,10 +95,20 @@
             return State.running
         return State(status.state)
 
-    def is_trial(self, service: str, version: str) -> bool:
-        """Return True if a version is being tried."""
+    def note_answer(
+        self,
+        service: str,
+        version: str,
+        work: Work,
+        seconds: float,
+    ) -> None:
+        """Count an answer as evidence for or against its version."""
         timed = self._operators.order(service)
-        return timed is not None and timed.order.target == version
+        slow_ratio = None
+        if timed is not None and timed.order.target == version:
+            has_moved = _find_progress(timed) >= MOVE_FROM
+            slow_ratio = MOVED_SLOW_RATIO if has_moved else SLOW_RATIO
+        self.evidence(service).note_answer(version, work, seconds, slow_ratio)
 
     def choose(
         self,
