Predict times in seconds, keep prompts at their homes, wait for busy endpoints

Ruled out: processor time of the entries (0.09 cores). Change: reading time by model, homes weighed by it, patience that follows the usual time, and a small model's answer taken sooner under pressure. An endpoint that another one replaced at its address is left alone.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -14,6 +14,7 @@
 from ..forwarding.connections import Connections
 from ..forwarding.endpoints import Endpoint, EndpointBook
 from ..forwarding.metrics import ForwardingMetrics
+from ..forwarding.pace import ReadingPace
 from ..forwarding.peers import EntryBook, Listeners
 from ..forwarding.relay import Relay, RelayParts
 from ..forwarding.rollouts import RolloutJudge, Rollouts
@@ -87,7 +88,8 @@
         self._leaving = threading.Event()
         self._stopped = threading.Event()
         outliers = Outliers()
-        chooser = Chooser(settings.zone, outliers, self._find_cold_rate)
+        pace = ReadingPace()
+        chooser = Chooser(settings.zone, outliers, pace, self._find_cold_rate)
         self._relay = Relay(
             RelayParts(
                 codec=codec,
@@ -98,6 +100,7 @@
                 rollouts=self._rollouts,
                 outliers=outliers,
                 metrics=self._metrics,
+                pace=pace,
                 find_budget=self._budgets.__getitem__,
                 count_entries=self._entries.count,
                 find_age=self._operator_feed.age,
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -39,8 +39,9 @@
         self.record = record
         #: Requests of this entry that are there now.
         self.running = 0
-        #: Prompt tokens of those that have had no first event.
-        self.pending_tokens = 0.0
+        #: Predicted reading time of those that have had no first event, in
+        #: seconds.
+        self.pending = 0.0
         #: Observed time over expected time of its answers.
         self.pace = 1.0
         self.cold_until = 0.0
@@ -110,7 +111,7 @@
     def count_fresh_tokens(self, call: Call, model: str) -> int:
         """Return the prompt tokens that the endpoint has to read."""
         fresh = call.prompt_tokens
-        for part in call.prompt[:-1]:
+        for part in call.prompt:
             if (model, part.identifier) not in self._parts:
                 break
             fresh -= part.tokens
@@ -133,19 +134,19 @@
                 self._sent.popleft()
             return len(self._sent)
 
-    def enter(self, tokens: float) -> None:
-        """Count a request that is sent there now."""
+    def enter(self, seconds: float) -> None:
+        """Count a request that takes some seconds to read."""
         with self.lock:
             self.running += 1
-            self.pending_tokens += tokens
+            self.pending += seconds
             self._sent.append(time.monotonic())
             if len(self._sent) > 1000:
                 self._sent.popleft()
 
-    def begin(self, tokens: float) -> None:
-        """Count a request's first event."""
+    def begin(self, seconds: float) -> None:
+        """Count a request as read that took some seconds."""
         with self.lock:
-            self.pending_tokens = max(0.0, self.pending_tokens - tokens)
+            self.pending = max(0.0, self.pending - seconds)
 
     def leave(self) -> None:
         """Count a request that is no longer there."""
--- a/src/toucancourse/forwarding/models.py
+++ b/src/toucancourse/forwarding/models.py
@@ -51,7 +51,17 @@
     if len(models.names) < 2 or head.confidence is None:
         return True
     left = call.received + route.objective - time.monotonic()
-    wanted = MIN_CONFIDENCE
-    if larger_seconds > left:
-        wanted = MIN_LATE_CONFIDENCE
-    return head.confidence >= wanted
+    return head.confidence >= find_wanted(larger_seconds, left)
+
+
+def find_wanted(larger_seconds: float, left: float) -> float:
+    """Return the confidence from which on a small model's answer is taken.
+
+    It falls from MIN_CONFIDENCE, where the larger model needs less than half
+    of the time that is left, to MIN_LATE_CONFIDENCE, where it needs all.
+    """
+    if left <= 0:
+        return MIN_LATE_CONFIDENCE
+    pressure = min(1.0, max(0.0, 2 * larger_seconds / left - 1))
+    span = MIN_CONFIDENCE - MIN_LATE_CONFIDENCE
+    return MIN_CONFIDENCE - pressure * span
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -26,12 +26,16 @@
 from .metrics import ForwardingMetrics
 from .models import Models, is_good_enough, list_models
 from .objects import Call, Head, Kind, Order
+from .pace import ReadingPace
 from .replies import CallerGoneError, Reply
 from .rollouts import Rollouts
 
-#: Part of the objective that a first endpoint has to begin its answer, if a
-#: second one may be asked.
+#: Least part of the objective that an endpoint has to begin its answer, if
+#: another one may be asked.
 FIRST_PART: Final = 0.5
+#: Usual times after which an endpoint counts as silent. The usual time grows
+#: with the load, so that waiting work isn't sent twice when all are busy.
+SILENT_RATIO: Final = 4.0
 #: Silence within a stream after which another endpoint goes on, in seconds;
 #: callers leave after eight of the longest pauses.
 STREAM_SILENCE_SECONDS: Final = 2.0
@@ -61,6 +65,7 @@
     rollouts: Rollouts
     outliers: Outliers
     metrics: ForwardingMetrics
+    pace: ReadingPace
     find_budget: Callable[[str], WindowBudget]
     count_entries: Callable[[], int]
     find_age: Callable[[], float]
@@ -184,9 +189,8 @@
         )
         attempt = self._open(admitted, choice, model)
         endpoint = choice.endpoint
-        fresh = choice.scored.fresh_tokens
-        endpoint.enter(fresh)
-        pending = fresh
+        pending = choice.scored.reading
+        endpoint.enter(pending)
         self._reply.watch(attempt.exchange.cancel)
         try:
             if self._reply.is_gone():
@@ -256,7 +260,7 @@
         """Return the start of the endpoint's answer."""
         exchange = attempt.exchange
         self._runs += 1
-        until = self._find_patience()
+        until = self._find_patience(attempt.model)
         try:
             exchange.send(attempt.order, until)
         except NotSentError:
@@ -270,6 +274,8 @@
             endpoint.note_cold(head.cold_seconds)
         if head.not_run or head.misdirected:
             self._runs -= 1
+            if head.misdirected:
+                endpoint.note_unreachable()
             self._drain(attempt)
             raise RejectedError(
                 f'endpoint "{endpoint.record.identifier}" answered '
@@ -285,19 +291,15 @@
         except CourseError:
             attempt.exchange.close()
 
-    def _find_patience(self) -> float:
+    def _find_patience(self, model: str) -> float:
         """Return until when an endpoint may take to begin its answer."""
         assert self._admitted is not None
         route = self._admitted.route
         now = time.monotonic()
         if not route.is_repeatable() or self._runs >= route.max_runs:
             return self._limit
-        patience = max(
-            FIRST_PART * route.objective,
-            FIRST_PART * (self._limit - now),
-        )
-        if route.kind is Kind.stream:
-            patience = FIRST_PART * route.objective * self._runs
+        usual = self._parts.metrics.find_usual((route.name, model))
+        patience = max(FIRST_PART * route.objective, SILENT_RATIO * usual)
         return min(self._limit, now + patience)
 
     def _take(self, attempt: _Try, head: Head) -> bool:
@@ -455,9 +457,9 @@
             (route.name, attempt.model), seconds
         )
         endpoint.note_pace(seconds / usual)
-        work = Work(
-            route.name, attempt.model, choice.scored.fresh_tokens.bit_length()
-        )
+        fresh = choice.scored.fresh_tokens
+        self._parts.pace.learn(attempt.model, fresh, seconds)
+        work = Work(route.name, attempt.model, fresh.bit_length())
         self._parts.rollouts.note_answer(
             choice.service, choice.version, work, seconds
         )
@@ -487,3 +489,14 @@
         )
         if isinstance(error, SilentError):
             self._parts.connections.drop(record)
+            self._note_wait(attempt)
+
+    def _note_wait(self, attempt: _Try) -> None:
+        """Let a wait in vain count as time that an answer takes."""
+        assert self._admitted is not None
+        if self._has_begun:
+            return
+        self._parts.metrics.note_usual(
+            (self._admitted.route.name, attempt.model),
+            time.monotonic() - attempt.began,
+        )
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -8,22 +8,24 @@
 from ..routing.endpoints import MAX_FAILING, Outliers
 from .endpoints import Endpoint
 from .objects import Call
-
-#: Prompt tokens that take as long as one more running request does.
-TOKENS_PER_RUNNING: Final = 60.0
-#: Time that a request without a prompt takes, in tokens' worth.
-BASE_TOKENS: Final = 200.0
-#: Share of a prompt's shared tokens that counts as read at its home: about
-#: how often a shared part comes again while its home still keeps it.
-HOME_SHARE: Final = 0.5
+from .pace import ReadingPace
+
+#: Time that each other request at an endpoint takes from a new one, seconds.
+RUNNING_SECONDS: Final = 0.02
+#: Time that any request takes, in seconds.
+BASE_SECONDS: Final = 0.02
+#: Share of a prompt's shared tokens that counts as read at its home.
+HOME_SHARE: Final = 0.8
 #: Weight of the share of failures against time.
 FAILURE_WEIGHT: Final = 6.0
-#: A hop to another zone, in tokens' worth, and each byte that it carries:
-#: operators pay for these bytes as for 0.1 prompt tokens read again.
-HOP_TOKENS: Final = 20.0
-HOP_TOKENS_PER_BYTE: Final = 0.1
+#: A hop to another zone and each byte that it carries, in seconds: operators
+#: pay for a byte as for 0.1 shared tokens that the largest model reads again.
+HOP_SECONDS: Final = 0.002
+HOP_SECONDS_PER_BYTE: Final = 4e-6
 #: Bytes of an answer for each token generated.
 BYTES_PER_TOKEN: Final = 20.0
+#: Share by which equal endpoints are told apart at random.
+JITTER: Final = 0.01
 #: Share of a cold endpoint's rate and of the allowed excess that is used.
 COLD_SHARE: Final = 0.8
 
@@ -41,11 +43,13 @@
 
 
 class Scored(NamedTuple):
-    """An endpoint and its predicted time, in tokens' worth."""
+    """An endpoint and its predicted time, in seconds."""
 
     endpoint: Endpoint
     score: float
+    #: Prompt tokens that it has to read, and the time that takes.
     fresh_tokens: int
+    reading: float
 
 
 class Chooser:
@@ -55,6 +59,7 @@
         self,
         zone: str,
         outliers: Outliers,
+        pace: ReadingPace,
         find_cold_rate: Callable[[str], float],
     ) -> None:
         """Keep the entry's zone.
@@ -64,6 +69,7 @@
         """
         self._zone = zone
         self._outliers = outliers
+        self._pace = pace
         self._find_cold_rate = find_cold_rate
 
     def choose(
@@ -103,26 +109,28 @@
     ) -> Scored:
         fresh = endpoint.count_fresh_tokens(call, wanted.model)
         identifier = endpoint.record.identifier
-        if identifier == home and call.prompt:
+        if identifier == home:
             shared = sum(part.tokens for part in call.prompt[:-1])
             fresh = min(fresh, int(call.prompt_tokens - HOME_SHARE * shared))
-        running = endpoint.running + endpoint.others()
-        waiting = endpoint.pending_tokens + running * TOKENS_PER_RUNNING
-        score = (BASE_TOKENS + max(0, fresh) + waiting) * endpoint.pace
+        fresh = max(0, fresh)
+        reading = self._pace.predict(wanted.model, fresh)
+        others = endpoint.running + endpoint.others()
+        waiting = endpoint.pending + others * RUNNING_SECONDS
+        score = (BASE_SECONDS + reading + waiting) * endpoint.pace
         if endpoint.record.zone != self._zone:
             score += _weigh_hop(call)
         failing = self._outliers.failing(identifier)
         score *= 1 + FAILURE_WEIGHT * failing
         if failing >= MAX_FAILING:
             score *= FAILURE_WEIGHT
-        score *= 1 + random.random() / 100
-        return Scored(endpoint, score, max(0, fresh))
+        score *= 1 + random.random() * JITTER
+        return Scored(endpoint, score, fresh, reading)
 
 
 def _weigh_hop(call: Call) -> float:
-    """Return what a call's way to another zone costs, in tokens' worth."""
+    """Return what a call's way to another zone costs, in seconds."""
     size = len(call.body) + BYTES_PER_TOKEN * call.expected_tokens
-    return HOP_TOKENS + HOP_TOKENS_PER_BYTE * size
+    return HOP_SECONDS + HOP_SECONDS_PER_BYTE * size
 
 
 def _find_home(call: Call, endpoints: Sequence[Endpoint]) -> str:
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -17,6 +17,7 @@
 from toucancourse.forwarding.messages import RawRequest
 from toucancourse.forwarding.metrics import ForwardingMetrics
 from toucancourse.forwarding.objects import Headers
+from toucancourse.forwarding.pace import ReadingPace
 from toucancourse.forwarding.relay import Relay, RelayParts
 from toucancourse.forwarding.replies import CallerGoneError, Reply
 from toucancourse.forwarding.rollouts import Rollouts
@@ -142,7 +143,8 @@
         self.connections = Connections(codec)
         self.budget = WindowBudget(0.5, 20, 10)
         self.metrics = ForwardingMetrics(CollectorRegistry())
-        chooser = Chooser('zone-a', self.outliers, lambda _: 2.0)
+        pace = ReadingPace()
+        chooser = Chooser('zone-a', self.outliers, pace, lambda _: 2.0)
         self.relay = Relay(
             RelayParts(
                 codec=codec,
@@ -153,6 +155,7 @@
                 rollouts=self.rollouts,
                 outliers=self.outliers,
                 metrics=self.metrics,
+                pace=pace,
                 find_budget=lambda _: self.budget,
                 count_entries=lambda: 1,
                 find_age=lambda: self.age,
