Take a small model's answer sooner as the larger one slows down

Cause: engines are the bottleneck of the grown sites: a draft on the largest model takes about 0.4 s of one. Change: the wanted confidence falls from a quarter of the time left on.

--- a/src/toucancourse/forwarding/models.py
+++ b/src/toucancourse/forwarding/models.py
@@ -9,8 +9,10 @@
 #: Confidence in [0, 1] from which on a smaller model's answer is taken.
 MIN_CONFIDENCE: Final = 0.6
 #: The same where the larger model would answer too late: a late answer is
-#: worth about a third of one in time.
-MIN_LATE_CONFIDENCE: Final = 0.3
+#: worth about a third of one in time, and makes others late.
+MIN_LATE_CONFIDENCE: Final = 0.2
+#: Part of the time left from which on the larger model's time counts.
+RELAXED_PART: Final = 0.25
 
 
 class Models(NamedTuple):
@@ -57,11 +59,13 @@
 def find_wanted(larger_seconds: float, left: float) -> float:
     """Return the confidence from which on a small model's answer is taken.
 
-    It falls from MIN_CONFIDENCE, where the larger model needs less than half
-    of the time that is left, to MIN_LATE_CONFIDENCE, where it needs all.
+    It falls from MIN_CONFIDENCE, where the larger model needs less than
+    RELAXED_PART of the time left, to MIN_LATE_CONFIDENCE, where it needs all.
     """
     if left <= 0:
         return MIN_LATE_CONFIDENCE
-    pressure = min(1.0, max(0.0, 2 * larger_seconds / left - 1))
+    part = larger_seconds / left
+    pressure = (part - RELAXED_PART) / (1 - RELAXED_PART)
+    pressure = min(1.0, max(0.0, pressure))
     span = MIN_CONFIDENCE - MIN_LATE_CONFIDENCE
     return MIN_CONFIDENCE - pressure * span
