Keep a ready answer that no larger model can replace; take poll ends as proof

Change: key and proof count when a request comes; an answer is dropped only if the larger model has an endpoint; an empty poll proves its end. Calls to a failing store wait longer, and don't hang on a poll. Observation of attempts is a module of its own.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -15,8 +15,9 @@
 from ..forwarding.endpoints import Endpoint, EndpointBook
 from ..forwarding.metrics import ForwardingMetrics
 from ..forwarding.pace import ReadingPace
+from ..forwarding.parts import RelayParts
 from ..forwarding.peers import EntryBook, Listeners
-from ..forwarding.relay import Relay, RelayParts
+from ..forwarding.relay import Relay
 from ..forwarding.rollouts import RolloutJudge, Rollouts
 from ..forwarding.selection import COLD_SHARE, Chooser
 from ..forwarding.tables import OperatorBook
@@ -48,6 +49,10 @@
 OPERATOR_WAIT: Final = 1.3
 ENDPOINT_WAIT: Final = 2.0
 STATUS_WAIT: Final = 10.0
+#: Longest pauses after a failed call, in seconds. A key is served again once
+#: the operators' topic is read; lapsed endpoints have two seconds to return.
+OPERATOR_RETRY: Final = 0.4
+RETRY: Final = 0.8
 #: Pause between reads of the endpoints' records, so that one carries those of
 #: many; drained endpoints must be left within two seconds.
 ENDPOINT_PAUSE: Final = 0.6
@@ -169,19 +174,19 @@
             'operators',
             StoreTopic(store, names.OPERATOR_TOPIC),
             self._operators,
-            Pace(OPERATOR_WAIT, 0),
+            Pace(OPERATOR_WAIT, 0, OPERATOR_RETRY),
         )
         self._endpoint_feed = Feed(
             'endpoints',
             StoreTopic(store, names.ENDPOINT_TOPIC),
             self._endpoints,
-            Pace(ENDPOINT_WAIT, ENDPOINT_PAUSE),
+            Pace(ENDPOINT_WAIT, ENDPOINT_PAUSE, RETRY),
         )
         self._status_feed = Feed(
             'statuses',
             StoreTopic(store, names.STATUS_TOPIC),
             Listeners(self._rollouts, self._entries),
-            Pace(STATUS_WAIT, 0),
+            Pace(STATUS_WAIT, 0, RETRY),
         )
 
     def _build_servers(self) -> None:
--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -4,7 +4,12 @@
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
-from ..errors import DeadlineError, StaleError, UnavailableError
+from ..errors import (
+    DeadlineError,
+    NotFoundError,
+    StaleError,
+    UnavailableError,
+)
 from .endpoints import Endpoint, EndpointBook
 from .objects import Account, Call, Route
 from .rollouts import Rollouts
@@ -97,6 +102,13 @@
             )
         return Admitted(route, account)
 
+    def follow_route(self, call: Call, admitted: Admitted) -> Admitted:
+        """Return an admitted call with the newest state of its route."""
+        try:
+            return admitted._replace(route=self._operators.find_route(call))
+        except NotFoundError:
+            return admitted
+
     def choose(
         self,
         call: Call,
--- /dev/null
+++ b/src/toucancourse/forwarding/attempts.py
@@ -0,0 +1,89 @@
+"""One attempt of a request at one endpoint, and what is learnt from it."""
+
+import time
+from typing import NamedTuple
+
+from loguru import logger
+
+from ..errors import CourseError, Outcome
+from .admission import Choice
+from .connections import Exchange, SilentError
+from .evidence import Work
+from .objects import Call, Order, Route
+from .parts import RelayParts
+
+
+class Attempt(NamedTuple):
+    """A request on its way to one endpoint."""
+
+    route: Route
+    choice: Choice
+    exchange: Exchange
+    #: Model that the router named, or ''.
+    model: str
+    #: time.monotonic() of its start.
+    began: float
+    order: Order
+
+
+class Observer:
+    """Tells all that learn from attempts how they ended."""
+
+    def __init__(self, parts: RelayParts) -> None:
+        """Keep the parts."""
+        self._parts = parts
+
+    def note_success(self, call: Call, attempt: Attempt) -> None:
+        """Count an answer, or the first event of one."""
+        choice = attempt.choice
+        seconds = time.monotonic() - attempt.began
+        endpoint = choice.endpoint
+        self._parts.outliers.note(endpoint.record.identifier, failed=False)
+        endpoint.note_parts(call, attempt.model)
+        usual = self._parts.metrics.note_usual(
+            (attempt.route.name, attempt.model), seconds
+        )
+        endpoint.note_pace(seconds / usual)
+        fresh = choice.scored.fresh_tokens
+        self._parts.pace.learn(attempt.model, fresh, seconds)
+        work = Work(attempt.route.name, attempt.model, fresh.bit_length())
+        rollouts = self._parts.rollouts
+        rollouts.note_answer(choice.service, choice.version, work, seconds)
+        rollouts.note_session(choice.service, call.session, choice.version)
+
+    def note_failure(
+        self,
+        call: Call,
+        attempt: Attempt,
+        error: CourseError,
+        *,
+        has_begun: bool,
+    ) -> None:
+        """Count a failure; has_begun if the caller has a part already."""
+        choice = attempt.choice
+        record = choice.endpoint.record
+        seconds = time.monotonic() - attempt.began
+        logger.info(
+            'attempt failed',
+            call=call.identifier,
+            endpoint=record.identifier,
+            version=choice.version,
+            model=attempt.model,
+            code=error.code,
+            why=error.text,
+            seconds=round(seconds, 4),
+        )
+        self._parts.metrics.failures.labels(error.code).inc()
+        if error.outcome is Outcome.not_run:
+            return
+        self._parts.outliers.note(record.identifier, failed=True)
+        evidence = self._parts.rollouts.evidence(choice.service)
+        evidence.note_failure(choice.version)
+        if not isinstance(error, SilentError):
+            return
+        self._parts.connections.drop(record)
+        if not has_begun:
+            # A wait in vain counts as time that an answer takes.
+            self._parts.metrics.note_usual(
+                (attempt.route.name, attempt.model), seconds
+            )
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -1,13 +1,11 @@
 """Serves one request: choice, attempts, and the answer to the caller."""
 
 import time
-from collections.abc import Callable
 from http import HTTPStatus
-from typing import Final, NamedTuple
+from typing import Final
 
 from loguru import logger
 
-from ..admission.limits import WindowBudget
 from ..errors import (
     DECODE_ERRORS,
     BadRequestError,
@@ -17,18 +15,15 @@
     Outcome,
     UnavailableError,
 )
-from ..routing.endpoints import Outliers
-from .admission import Admission, Admitted, Choice, check_time
-from .connections import Connections, Exchange, NotSentError, SilentError
+from .admission import Admitted, Choice, NoEndpointError, check_time
+from .attempts import Attempt, Observer
+from .connections import NotSentError, SilentError
 from .events import EventSplitter
-from .evidence import Work
-from .messages import Codec, RawRequest
-from .metrics import ForwardingMetrics
+from .messages import RawRequest
 from .models import Models, is_good_enough, list_models
 from .objects import Call, Head, Kind, Order
-from .pace import ReadingPace
+from .parts import RelayParts
 from .replies import CallerGoneError, Reply
-from .rollouts import Rollouts
 
 #: Least part of the objective that an endpoint has to begin its answer, if
 #: another one may be asked.
@@ -56,32 +51,6 @@
 _RETRYABLE: Final = (EndpointError, NotSentError, RejectedError)
 
 
-class RelayParts(NamedTuple):
-    """What every request of an entry uses."""
-
-    codec: Codec
-    admission: Admission
-    connections: Connections
-    rollouts: Rollouts
-    outliers: Outliers
-    metrics: ForwardingMetrics
-    pace: ReadingPace
-    find_budget: Callable[[str], WindowBudget]
-    count_entries: Callable[[], int]
-    find_age: Callable[[], float]
-    revocation_seconds: float
-
-
-class _Try(NamedTuple):
-    """One attempt and what it took."""
-
-    choice: Choice
-    exchange: Exchange
-    model: str
-    began: float
-    order: Order
-
-
 class Relay:
     """Forwards requests."""
 
@@ -117,9 +86,11 @@
         self._parts = parts
         self._call = call
         self._reply = reply
+        self._observer = Observer(parts)
         self._admitted: Admitted | None = None
         self._models = Models(())
         self._tried: set[str] = set()
+        self._current = ''
         #: Attempts that ran or may have run.
         self._runs = 0
         self._sends = 0
@@ -179,10 +150,21 @@
         check_time(self._call, self._limit, time.monotonic())
         return admitted
 
+    def _follow_route(self) -> Admitted:
+        """Return the request as admitted, with its route's newest services.
+
+        Key and proof held when the request came, which is what counts.
+        """
+        assert self._admitted is not None
+        admission = self._parts.admission
+        self._admitted = admission.follow_route(self._call, self._admitted)
+        return self._admitted
+
     def _attempt(self) -> bool:
         """Send the request once; return True if it was answered."""
-        admitted = self._admit()
-        self._check_caller()
+        admitted = self._follow_route()
+        if self._reply.is_gone():
+            raise CallerGoneError('the caller closed its connection')
         model = self._bound[1] or self._models.current
         choice = self._parts.admission.choose(
             self._call, admitted, model, self._tried
@@ -207,7 +189,7 @@
         finally:
             self._leave(attempt, pending)
 
-    def _leave(self, attempt: _Try, pending: float) -> None:
+    def _leave(self, attempt: Attempt, pending: float) -> None:
         """End an attempt; pending tokens have had no first event."""
         endpoint = attempt.choice.endpoint
         self._reply.watch(None)
@@ -220,10 +202,11 @@
         admitted: Admitted,
         choice: Choice,
         model: str,
-    ) -> _Try:
+    ) -> Attempt:
         endpoint = choice.endpoint
         record = endpoint.record
         self._tried.add(record.identifier)
+        self._current = record.identifier
         self._sends += 1
         now = time.monotonic()
         left = self._limit - now
@@ -254,9 +237,9 @@
             endpoint.note_unreachable()
             self._parts.outliers.note(record.identifier, failed=True)
             raise
-        return _Try(choice, exchange, model, now, order)
+        return Attempt(admitted.route, choice, exchange, model, now, order)
 
-    def _ask(self, attempt: _Try) -> Head:
+    def _ask(self, attempt: Attempt) -> Head:
         """Return the start of the endpoint's answer."""
         exchange = attempt.exchange
         self._runs += 1
@@ -284,7 +267,7 @@
         endpoint.note_answer()
         return head
 
-    def _drain(self, attempt: _Try) -> None:
+    def _drain(self, attempt: Attempt) -> None:
         """Read the rest of an answer that is not used."""
         try:
             attempt.exchange.read_body(time.monotonic() + MIN_LEFT_SECONDS)
@@ -302,7 +285,7 @@
         patience = max(FIRST_PART * route.objective, SILENT_RATIO * usual)
         return min(self._limit, now + patience)
 
-    def _take(self, attempt: _Try, head: Head) -> bool:
+    def _take(self, attempt: Attempt, head: Head) -> bool:
         """Hand the answer on; return False if it is dropped."""
         assert self._admitted is not None
         route = self._admitted.route
@@ -314,11 +297,11 @@
         if route.kind is Kind.stream and head.is_event_stream:
             return self._take_stream(attempt, head)
         body = attempt.exchange.read_body(self._limit)
-        self._note_success(attempt)
+        self._observer.note_success(self._call, attempt)
         self._send(head, body)
         return True
 
-    def _take_failure(self, attempt: _Try, head: Head) -> bool:
+    def _take_failure(self, attempt: Attempt, head: Head) -> bool:
         """Hand a failure on unless another endpoint may do better."""
         assert self._admitted is not None
         body = attempt.exchange.read_body(self._limit)
@@ -336,7 +319,7 @@
         self._send(head, body)
         return True
 
-    def _take_stream(self, attempt: _Try, head: Head) -> bool:
+    def _take_stream(self, attempt: Attempt, head: Head) -> bool:
         if not self._has_begun and not self._is_good_enough(head):
             return self._drop(attempt, head)
         splitter = EventSplitter()
@@ -363,12 +346,10 @@
         usual = self._parts.metrics.find_usual((route.name, larger))
         return is_good_enough(route, self._call, self._models, head, usual)
 
-    def _drop(self, attempt: _Try, head: Head) -> bool:
+    def _drop(self, attempt: Attempt, head: Head) -> bool:
         """Ask a larger model instead, if a retry may be spent on it."""
         assert self._admitted is not None
-        if self._runs >= self._admitted.route.max_runs:
-            self._models = self._models.enlarge()
-        elif self._spend(attempt.choice.service):
+        if self._can_enlarge() and self._spend(attempt.choice.service):
             logger.info(
                 'answer dropped',
                 call=self._call.identifier,
@@ -383,14 +364,29 @@
         self._models = Models((attempt.model,))
         return self._take_stream(attempt, head)
 
-    def _write(self, attempt: _Try, head: Head, content: bytes) -> None:
+    def _can_enlarge(self) -> bool:
+        """Return True if the larger model has an endpoint now."""
+        assert self._admitted is not None
+        if self._runs >= self._admitted.route.max_runs:
+            return False
+        tried = self._tried - {self._current}
+        larger = self._models.enlarge().current
+        try:
+            self._parts.admission.choose(
+                self._call, self._admitted, larger, tried
+            )
+        except NoEndpointError:
+            return False
+        return True
+
+    def _write(self, attempt: Attempt, head: Head, content: bytes) -> None:
         if not self._has_begun:
             self._has_begun = True
             self._status = head.status
             self._bound = (attempt.choice.version, attempt.model)
             now = time.monotonic()
             self._first_event = round(now - self._call.received, 4)
-            self._note_success(attempt)
+            self._observer.note_success(self._call, attempt)
             self._reply.begin(head.status, head.headers)
         self._reply.write(content)
 
@@ -441,62 +437,7 @@
     def _is_late(self) -> bool:
         return time.monotonic() + MIN_LEFT_SECONDS >= self._limit
 
-    def _check_caller(self) -> None:
-        if self._reply.is_gone():
-            raise CallerGoneError('the caller closed its connection')
-
-    def _note_success(self, attempt: _Try) -> None:
-        choice = attempt.choice
-        seconds = time.monotonic() - attempt.began
-        endpoint = choice.endpoint
-        self._parts.outliers.note(endpoint.record.identifier, failed=False)
-        endpoint.note_parts(self._call, attempt.model)
-        assert self._admitted is not None
-        route = self._admitted.route
-        usual = self._parts.metrics.note_usual(
-            (route.name, attempt.model), seconds
-        )
-        endpoint.note_pace(seconds / usual)
-        fresh = choice.scored.fresh_tokens
-        self._parts.pace.learn(attempt.model, fresh, seconds)
-        work = Work(route.name, attempt.model, fresh.bit_length())
-        self._parts.rollouts.note_answer(
-            choice.service, choice.version, work, seconds
-        )
-        self._parts.rollouts.note_session(
-            choice.service, self._call.session, choice.version
-        )
-
-    def _note_failure(self, attempt: _Try, error: CourseError) -> None:
-        choice = attempt.choice
-        record = choice.endpoint.record
-        logger.info(
-            'attempt failed',
-            call=self._call.identifier,
-            endpoint=record.identifier,
-            version=choice.version,
-            model=attempt.model,
-            code=error.code,
-            why=error.text,
-            seconds=round(time.monotonic() - attempt.began, 4),
-        )
-        self._parts.metrics.failures.labels(error.code).inc()
-        if error.outcome is Outcome.not_run:
-            return
-        self._parts.outliers.note(record.identifier, failed=True)
-        self._parts.rollouts.evidence(choice.service).note_failure(
-            choice.version
-        )
-        if isinstance(error, SilentError):
-            self._parts.connections.drop(record)
-            self._note_wait(attempt)
-
-    def _note_wait(self, attempt: _Try) -> None:
-        """Let a wait in vain count as time that an answer takes."""
-        assert self._admitted is not None
-        if self._has_begun:
-            return
-        self._parts.metrics.note_usual(
-            (self._admitted.route.name, attempt.model),
-            time.monotonic() - attempt.began,
+    def _note_failure(self, attempt: Attempt, error: CourseError) -> None:
+        self._observer.note_failure(
+            self._call, attempt, error, has_begun=self._has_begun
         )
--- a/src/toucancourse/membership/feeds.py
+++ b/src/toucancourse/membership/feeds.py
@@ -11,9 +11,11 @@
 from .clock import read_clock
 from .topics import ExpiredError, Record, Records, Topic
 
-#: First and longest pause after a failed call.
+#: First pause after a failed call.
 RETRY_SECONDS: Final = 0.1
-MAX_RETRY_SECONDS: Final = 0.4
+#: An empty answer to a long poll proves what was newest when the poll ended;
+#: the store's timer may fire early by this much.
+TIMER_MARGIN: Final = 0.05
 
 
 class Listener(ABC):
@@ -44,6 +46,8 @@
     wait: float
     #: Pause between reads in seconds, so that one read carries many records.
     pause: float
+    #: Longest pause after a failed call in seconds.
+    max_retry: float = 0.4
 
 
 class Feed:
@@ -78,7 +82,7 @@
             except LogDownError as error:
                 self._note_down(error)
                 self._stop.wait(delay * random.uniform(0.5, 1))
-                delay = min(MAX_RETRY_SECONDS, delay * 2)
+                delay = min(self._pace.max_retry, delay * 2)
                 continue
             delay = RETRY_SECONDS
             if self._pace.pause:
@@ -98,6 +102,7 @@
 
     def _step(self) -> None:
         began = read_clock()
+        wait = 0.0 if self._is_down else self._pace.wait
         start = self._next
         if start is None:
             page = self._topic.fetch_newest()
@@ -105,7 +110,7 @@
             reached = self._synchronize(page)
         else:
             try:
-                page = self._topic.read(start, self._pace.wait)
+                page = self._topic.read(start, wait)
             except ExpiredError as error:
                 logger.info('feed restarts', feed=self._name, why=error.text)
                 self._next = None
@@ -114,6 +119,8 @@
             for record in page.records:
                 self._take(record)
             reached = start + len(page.records)
+            if not page.records:
+                began += max(0.0, wait - TIMER_MARGIN)
         self._next = reached
         if reached >= page.end:
             self._listener.settle()
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -18,7 +18,8 @@
 from toucancourse.forwarding.metrics import ForwardingMetrics
 from toucancourse.forwarding.objects import Headers
 from toucancourse.forwarding.pace import ReadingPace
-from toucancourse.forwarding.relay import Relay, RelayParts
+from toucancourse.forwarding.parts import RelayParts
+from toucancourse.forwarding.relay import Relay
 from toucancourse.forwarding.replies import CallerGoneError, Reply
 from toucancourse.forwarding.rollouts import Rollouts
 from toucancourse.forwarding.selection import Chooser
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -215,3 +215,28 @@
         book.apply('i-1', make_record())
         book.apply('i-1', None)
         assert not book.list_service('desk')
+
+
+class TestLongPolls:
+    """An empty answer proves what was newest when the poll ended."""
+
+    def test_empty_answer_is_a_proof_of_its_end(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(feeds, 'read_clock', lambda: 100.0)
+        topic = ScriptedTopic(Records((), 0), Records((), 0))
+        feed = Feed('test', topic, Kept(), Pace(wait=1.3, pause=0))
+        feed._step()
+        feed._step()
+        assert feed.proof == pytest.approx(101.25)
+
+    def test_answer_with_records_is_a_proof_of_its_start(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(feeds, 'read_clock', lambda: 100.0)
+        page = Records((Record('a', b'1', 0),), 1)
+        topic = ScriptedTopic(Records((), 0), page)
+        feed = Feed('test', topic, Kept(), Pace(wait=1.3, pause=0))
+        feed._step()
+        feed._step()
+        assert feed.proof == 100.0
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from toucancourse.admission.limits import WindowBudget
 from toucancourse.errors import Outcome
 
 from .forwarding import Caller, Desk, make_table
@@ -294,3 +295,25 @@
         for line in caller.body.split(b'\n')
         if line.startswith(b'id:')
     ]
+
+
+class TestReadyAnswers:
+    """An answer that is there isn't given up for one that can't come."""
+
+    def test_small_answer_is_kept_without_a_budget(self) -> None:
+        desk = Desk(replicas=1)
+        desk.replicas[0].opinions = {'small': 10, 'large': 90}
+        desk.budget = WindowBudget(0, 0, 10)
+        caller = desk.send('/auto/x')
+        assert caller.is_finished
+        assert [run['headers']['X-Model'] for run in desk.runs()] == ['small']
+        desk.close()
+
+    def test_proof_that_ages_on_the_way_stops_nothing(self, desk: Desk) -> None:
+        for replica in desk.replicas:
+            replica.opinions = {'small': 10, 'large': 90}
+            replica.pace = 0.1
+        caller = Caller()
+        threading.Timer(0.05, lambda: setattr(desk, 'age', 9.0)).start()
+        desk.send('/auto/x', caller=caller)
+        assert caller.is_finished
