Let short work pass long; keep cold endpoints under their rate

Change: the largest model's work ranks three behind; endpoints of a zone taken back count as cold until they tell; a share of a rate is rounded down.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -55,7 +55,7 @@
 RETRY: Final = 0.8
 #: Pause between reads of the endpoints' records, so that one carries those of
 #: many; drained endpoints must be left within two seconds.
-ENDPOINT_PAUSE: Final = 0.6
+ENDPOINT_PAUSE: Final = 1.0
 #: The balancer asks once a second and needs two misses; later requests come
 #: on kept connections only, and might not end within the grace period.
 LEAVE_SECONDS: Final = 2.6
@@ -76,8 +76,8 @@
         decoder = PlatformDecoder()
         codec = PlatformCodec()
         self._connections = Connections(codec)
-        self._operators = OperatorBook(decoder)
         self._endpoints = EndpointBook(decoder, self._forget)
+        self._operators = OperatorBook(decoder, self._endpoints.suspect_zone)
         self._rollouts = Rollouts(decoder, self._operators, settings.session)
         self._entries = EntryBook(settings.instance)
         self._metrics = ForwardingMetrics()
--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -28,6 +28,8 @@
 SPLIT_STEPS: Final = 10_000
 #: Ranks an endpoint knows; 5 is its own default.
 RANKS: Final = 10
+#: Ranks by which the largest model's work stands behind.
+LARGEST_RANKS: Final = 3
 
 
 class NoEndpointError(UnavailableError):
@@ -42,11 +44,17 @@
     route: Route
     account: Account
 
-    def find_rank(self) -> int:
-        """Return the rank at an endpoint, 0 for the most urgent."""
+    def find_rank(self, *, is_largest: bool) -> int:
+        """Return the rank at an endpoint, 0 for the most urgent.
+
+        The largest model takes many times as long as the smallest, so short
+        work goes first and waits for no long one.
+        """
         rank = self.route.priority
         if self.account.priority is not None:
             rank = self.account.priority
+        if is_largest:
+            rank += LARGEST_RANKS
         return max(0, min(RANKS - 1, rank))
 
 
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -197,6 +197,12 @@
             _log_endpoint('endpoint draining', record)
         known.update(record)
 
+    def suspect_zone(self, zone: str) -> None:
+        """Take a zone's endpoints as cold until each tells of itself."""
+        for endpoint in tuple(self._endpoints.values()):
+            if endpoint.record.zone == zone:
+                endpoint.is_suspect = True
+
     def note_return(self) -> None:
         """Keep entries that lapsed in an outage for a while."""
         super().note_return()
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -217,7 +217,7 @@
             account=admitted.account.name,
             seconds_left=self._call.deadline - now,
             model=model,
-            rank=admitted.find_rank(),
+            rank=admitted.find_rank(is_largest=len(self._models.names) == 1),
             last_event=self._last_event,
         )
         logger.debug(
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -97,7 +97,7 @@
             return False
         if endpoint.is_cold():
             rate = self._find_cold_rate(wanted.service)
-            return not rate or endpoint.count_recent() < rate
+            return not rate or endpoint.count_recent() + 1 <= rate
         return True
 
     def _score(
--- a/src/toucancourse/forwarding/tables.py
+++ b/src/toucancourse/forwarding/tables.py
@@ -1,7 +1,7 @@
 """The operators' configuration as this entry knows it."""
 
 import threading
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 from typing import NamedTuple
 
 from loguru import logger
@@ -16,6 +16,10 @@
 ANONYMOUS = Account('', None)
 
 
+def _ignore_return(_: str) -> None:
+    """Do nothing about a zone that is taken back."""
+
+
 class TimedOrder(NamedTuple):
     """A roll-out order and when it was first seen here."""
 
@@ -33,9 +37,14 @@
 class OperatorBook(Listener):
     """Newest configuration, roll-out orders and zones taken out."""
 
-    def __init__(self, decoder: Decoder) -> None:
-        """Start with nothing known."""
+    def __init__(
+        self,
+        decoder: Decoder,
+        on_return: Callable[[str], None] = _ignore_return,
+    ) -> None:
+        """Start with nothing known; on_return is told of zones taken back."""
         self._decoder = decoder
+        self._on_return = on_return
         self._lock = threading.Lock()
         self._index: _Index | None = None
         self._orders: dict[str, TimedOrder] = {}
@@ -127,6 +136,7 @@
         if change.is_out:
             self._zones_out |= {change.zone}
         else:
+            self._on_return(change.zone)
             self._zones_out -= {change.zone}
         logger.info('zone changed', zone=change.zone, is_out=change.is_out)
 
