Test the entry as a process; don't register while leaving

Cause: an entry that was stopped within a quarter of a second of its start registered and withdrew itself by turns, as the new process test showed. Change: registering ends once the entry leaves.

--- a/src/toucancourse/forwarding/peers.py
+++ b/src/toucancourse/forwarding/peers.py
@@ -25,6 +25,7 @@
         """Keep this entry's name."""
         self._name = name
         self._entries: set[str] = set()
+        self._is_leaving = False
 
     def apply(self, key: str, content: bytes | None) -> None:
         """Take an entry's registration or its end."""
@@ -50,13 +51,15 @@
 
     def leave(self, topic: Topic, feed: Feed) -> None:
         """Withdraw the registration."""
+        self._is_leaving = True
         self._write(topic, feed, None)
 
     def _write(self, topic: Topic, feed: Feed, content: bytes | None) -> None:
         wanted = content is not None
         for _ in range(MAX_TRIES):
             end = feed.find_end()
-            if self.is_registered() is wanted:
+            is_outdated = wanted and self._is_leaving
+            if is_outdated or self.is_registered() is wanted:
                 return
             if end is not None:
                 try:
--- /dev/null
+++ b/tests/test_node.py
@@ -0,0 +1,299 @@
+"""The entry as a process on the platform: start, drain, outage, limits."""
+
+import itertools
+import os
+import signal
+import socket
+import subprocess
+import sys
+import threading
+import time
+from collections.abc import Iterator
+from http.client import HTTPConnection, HTTPException
+from pathlib import Path
+
+import pytest
+
+from standins.calls import Answer, call, find_port, wait_until
+from standins.keyedstore import KeyedStore
+from standins.nodes import Node
+from standins.replica import Replica
+
+from .forwarding import HOST, KEY, make_table
+
+#: Longest poll of the operators' topic, and the bound that SETTINGS states.
+POLL_SECONDS = 1.3
+REVOCATION_SECONDS = 3.0
+_hosts = itertools.count(2)
+SETTINGS = """
+nodeName = "{name}"
+zone = "zone-a"
+ipAddress = "{host}"
+[listenAddresses]
+frontend = "{host}:{port}"
+ready = "{host}:{ready}"
+[limits]
+memoryMb = 300
+fileDescriptors = 4200
+[bounds]
+gracePeriodS = 6
+revocationMs = 3000
+[platform]
+address = "{store}"
+"""
+
+
+class Fleet:
+    """A store, two endpoints and one entry."""
+
+    def __init__(self, folder: Path) -> None:
+        """Start the stand-ins and the entry."""
+        self.store = KeyedStore()
+        self.replicas = [Replica('i-1'), Replica('i-2')]
+        self.store.put('keyed.op', 'config', make_table())
+        for replica in self.replicas:
+            self.store.put(
+                'keyed.servers', replica.identifier, replica.record()
+            )
+        self.host = f'127.0.0.{next(_hosts)}'
+        self.port, self.ready_port = find_port(), find_port()
+        self.settings = folder / 'boot.toml'
+        self.settings.write_text(
+            SETTINGS.format(
+                name='entry-1',
+                host=self.host,
+                port=self.port,
+                ready=self.ready_port,
+                store=self.store.address,
+            )
+        )
+        self.log = folder / 'entry.log'
+        self.node = Node(
+            'entry-1',
+            [sys.executable, '-m', 'toucancourse.daemon', str(self.settings)],
+            self.log,
+        )
+        self.node.start()
+        wait_until(self.is_ready, 10, 'readiness')
+
+    def is_ready(self) -> bool:
+        """Return True if the entry says that it is ready."""
+        try:
+            address = f'{self.host}:{self.ready_port}'
+            return call(address, 'GET', '/readiness', timeout=2).status == 200
+        except (OSError, HTTPException):
+            return False
+
+    def send(self, path: str, method: str = 'POST', key: str = KEY) -> Answer:
+        """Return the answer to a request on a connection of its own."""
+        headers = {
+            'Host': HOST,
+            'X-Attempt-Id': os.urandom(8).hex(),
+            'X-Key': key,
+            'X-Deadline-Ms': '4000',
+        }
+        if path.startswith('/draft'):
+            headers['Accept'] = 'text/event-stream'
+        address = f'{self.host}:{self.port}'
+        return call(address, method, path, {}, headers, timeout=8)
+
+    def close(self) -> None:
+        """End all."""
+        self.node.kill()
+        self.store.close()
+        for replica in self.replicas:
+            replica.close()
+
+
+@pytest.fixture
+def fleet(tmp_path: Path) -> Iterator[Fleet]:
+    """Return a running fleet."""
+    built = Fleet(tmp_path)
+    yield built
+    built.close()
+
+
+class TestService:
+    """Requests are served, and the process tells of itself."""
+
+    def test_each_kind_is_served(self, fleet: Fleet) -> None:
+        for path in ('/book/x', '/look/x', '/open/x'):
+            assert fleet.send(path).status == 200
+        stream = fleet.send('/draft/x')
+        assert stream.body.count(b'id:') == 4
+
+    def test_logs_and_metrics(self, fleet: Fleet) -> None:
+        fleet.send('/book/x')
+        metrics = call(f'{fleet.host}:9464', 'GET', '/metrics').body
+        assert b'toucancourse_forwarded_requests_total' in metrics
+        wait_until(
+            lambda: '"request ended"' in fleet.log.read_text(), 3, 'log line'
+        )
+
+    def test_new_configuration_is_in_force_at_once(self, fleet: Fleet) -> None:
+        table = make_table(2, tenants=[{'name': 'b', 'apiKeys': ['other']}])
+        fleet.store.put('keyed.op', 'config', table)
+        wait_until(lambda: fleet.send('/look/x').status == 401, 1, 'new keys')
+        assert fleet.send('/look/x', key='other').status == 200
+
+    def test_two_lengths_are_refused(self, fleet: Fleet) -> None:
+        with socket.create_connection((fleet.host, fleet.port)) as caller:
+            caller.sendall(
+                b'POST /look/x HTTP/1.1\r\nHost: desk.example\r\n'
+                b'Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n'
+                b'0\r\n\r\nGET /open/smuggled HTTP/1.1\r\n\r\n'
+            )
+            assert b' 400 ' in caller.recv(4096)
+        time.sleep(0.2)
+        assert not any(replica.runs() for replica in fleet.replicas)
+
+
+class TestConnections:
+    """Many callers with kept connections are all served."""
+
+    def test_five_hundred_kept_connections(self, fleet: Fleet) -> None:
+        callers = [
+            HTTPConnection(fleet.host, fleet.port, timeout=10)
+            for _ in range(500)
+        ]
+        for _ in range(2):
+            for caller in callers:
+                caller.request(
+                    'GET',
+                    '/open/x',
+                    headers={'Host': HOST, 'X-Attempt-Id': 'a'},
+                )
+                answer = caller.getresponse()
+                answer.read()
+                assert answer.status == 200
+        for caller in callers:
+            caller.close()
+
+    def test_two_thousand_idle_connections(self, fleet: Fleet) -> None:
+        idle = [
+            socket.create_connection((fleet.host, fleet.port))
+            for _ in range(2000)
+        ]
+        assert fleet.is_ready()
+        assert fleet.send('/book/x').status == 200
+        for connection in idle:
+            connection.close()
+
+
+class TestOutage:
+    """The store is away: keys end in time, other routes go on."""
+
+    def test_keys_end_and_come_back(self, fleet: Fleet) -> None:
+        fleet.store.refuse = 503
+        began = time.monotonic()
+        # The store answers the poll that waits there once more.
+        wait_until(lambda: fleet.send('/look/x').status == 503, 6, 'refusal')
+        assert time.monotonic() - began < POLL_SECONDS + REVOCATION_SECONDS
+        assert fleet.send('/open/x').status == 200
+        assert not fleet.is_ready()
+        fleet.store.refuse = 0
+        wait_until(lambda: fleet.send('/look/x').status == 200, 2, 'service')
+
+    def test_paused_entry_serves_no_withdrawn_key(self, fleet: Fleet) -> None:
+        fleet.send('/look/x')
+        fleet.node.send(signal.SIGSTOP)
+        fleet.store.refuse = 503
+        time.sleep(POLL_SECONDS + REVOCATION_SECONDS)
+        fleet.node.send(signal.SIGCONT)
+        assert fleet.send('/look/x').status == 503
+
+    def test_unknown_configuration_is_not_ready(self, fleet: Fleet) -> None:
+        fleet.store.refuse = 503
+        fleet.node.kill()
+        fleet.node.start()
+        wait_until(
+            lambda: _is_listening(fleet.host, fleet.port), 10, 'listening'
+        )
+        assert not fleet.is_ready()
+        assert fleet.send('/open/x').status == 503
+        fleet.store.refuse = 0
+        wait_until(fleet.is_ready, 5, 'readiness')
+
+
+class TestShutdown:
+    """SIGTERM cuts no request, and ends in time."""
+
+    def test_running_stream_ends_whole(self, fleet: Fleet) -> None:
+        for replica in fleet.replicas:
+            replica.events = 30
+            replica.pace = 0.04
+        answers: list[Answer] = []
+        thread = threading.Thread(
+            target=lambda: answers.append(fleet.send('/draft/x'))
+        )
+        thread.start()
+        time.sleep(0.5)
+        began = time.monotonic()
+        assert fleet.node.stop(10) == 0
+        thread.join()
+        assert answers[0].body.count(b'id:') == 30
+        assert time.monotonic() - began < 6
+
+    def test_late_requests_are_served_until_the_balancer_left(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.node.send(signal.SIGTERM)
+        time.sleep(0.2)
+        assert not fleet.is_ready()
+        for _ in range(5):
+            answer = fleet.send('/book/x')
+            assert answer.status == 200
+            assert answer.headers['connection'] == 'close'
+            time.sleep(0.3)
+
+    def test_registration_is_withdrawn(self, fleet: Fleet) -> None:
+        wait_until(
+            lambda: 'entry/entry-1' in fleet.store.newest('keyed.status'),
+            3,
+            'registration',
+        )
+        fleet.node.stop(10)
+        assert 'entry/entry-1' not in fleet.store.newest('keyed.status')
+
+    def test_settings_are_read_again(self, fleet: Fleet) -> None:
+        fleet.settings.write_text(
+            fleet.settings.read_text().replace('3000', '4000')
+        )
+        fleet.node.send(signal.SIGHUP)
+        wait_until(
+            lambda: '"changed": ["revocation"]' in fleet.log.read_text(),
+            3,
+            'reload',
+        )
+        assert fleet.send('/book/x').status == 200
+
+
+class TestCheck:
+    """`--check` names what is wrong in one line."""
+
+    def test_bad_file(self, tmp_path: Path) -> None:
+        path = tmp_path / 'boot.toml'
+        path.write_text('zone = 7\n')
+        done = subprocess.run(
+            [
+                sys.executable,
+                '-m',
+                'toucancourse.daemon',
+                '--check',
+                str(path),
+            ],
+            capture_output=True,
+            text=True,
+            check=False,
+        )
+        assert done.returncode == 2
+        assert 'nodeName' in done.stderr
+        assert done.stderr.count('\n') == 1
+
+
+def _is_listening(host: str, port: int) -> bool:
+    try:
+        socket.create_connection((host, port), timeout=1).close()
+    except OSError:
+        return False
+    return True
