--- a/src/toucancourse/forwarding/peers.py
+++ b/src/toucancourse/forwarding/peers.py
@@ -47,27 +47,36 @@
 
     def register(self, topic: Topic, feed: Feed) -> None:
         """Register this entry, unless that was read back before."""
-        self._write(topic, feed, b'1')
+        for _ in range(MAX_TRIES):
+            if self._is_leaving or self.is_registered():
+                return
+            self._append(topic, feed, b'1')
+            time.sleep(PAUSE_SECONDS)
 
     def leave(self, topic: Topic, feed: Feed) -> None:
-        """Withdraw the registration."""
+        """Withdraw the registration, also one that was not read back yet."""
         self._is_leaving = True
-        self._write(topic, feed, None)
-
-    def _write(self, topic: Topic, feed: Feed, content: bytes | None) -> None:
-        wanted = content is not None
         for _ in range(MAX_TRIES):
-            end = feed.find_end()
-            is_outdated = wanted and self._is_leaving
-            if is_outdated or self.is_registered() is wanted:
+            if self._append(topic, feed, None):
                 return
-            if end is not None:
-                try:
-                    topic.append(PREFIX + self._name, content, end)
-                except LogDownError as error:
-                    logger.debug('not registered', why=error.text)
             time.sleep(PAUSE_SECONDS)
 
+    def _append(
+        self,
+        topic: Topic,
+        feed: Feed,
+        content: bytes | None,
+    ) -> bool:
+        """Append if all before is known here; return True if it was."""
+        end = feed.find_end()
+        if end is None:
+            return False
+        try:
+            return topic.append(PREFIX + self._name, content, end)
+        except LogDownError as error:
+            logger.debug('registration not written', why=error.text)
+            return False
+
 
 class Listeners(Listener):
     """Several listeners of one topic."""
