--- a/Makefile
+++ b/Makefile
@@ -3,7 +3,7 @@
 BIN := $(VENV)/bin
 STAMP := $(VENV)/.installed
 
-.PHONY: setup demo fleet test lint format bench capacity experiment chaos clean
+.PHONY: setup demo fleet test lint format bench capacity experiment chaos soak clean
 
 setup: $(STAMP)
 
@@ -50,5 +50,11 @@
 chaos: setup
 	$(BIN)/python -m bench.chaos --seed $(SEED)
 
+# Random faults around entries on the users' platform; SEEDS=50 gives more.
+SEEDS ?= 8
+FIRST ?= 1
+soak: setup
+	$(BIN)/python -m bench.soak --seeds $(SEEDS) --first $(FIRST)
+
 clean:
 	rm -rf $(VENV)
--- a/standins/proxy.py
+++ b/standins/proxy.py
@@ -27,12 +27,17 @@
         self.delay = 0.0
         self.bytes = 0
         self._random = random.Random(seed)
+        self._lock = threading.Lock()
         self._pairs: set[tuple[socket.socket, socket.socket]] = set()
-        self._listen = listen
+        self.port = listen
         self._open()
 
     def set(self, mode: str, delay: float) -> None:
         """Change the fault; 'cut' and 'refuse' break open connections."""
+        with self._lock:
+            self._set(mode, delay)
+
+    def _set(self, mode: str, delay: float) -> None:
         before = self.mode
         self.mode = mode
         self.delay = delay
@@ -46,7 +51,7 @@
             self._open()
 
     def _open(self) -> None:
-        self._server = socket.create_server(('127.0.0.1', self._listen))
+        self._server = socket.create_server(('127.0.0.1', self.port))
         threading.Thread(
             target=self._accept, args=(self._server,), daemon=True
         ).start()
