--- a/src/toucancourse/forwarding/models.py
+++ b/src/toucancourse/forwarding/models.py
@@ -7,7 +7,7 @@
 from .objects import Call, Head, Route
 
 #: Confidence in [0, 1] from which on a smaller model's answer is taken.
-MIN_CONFIDENCE: Final = 0.6
+MIN_CONFIDENCE: Final = 0.5
 #: The same where the larger model would answer too late: a late answer is
 #: worth about a third of one in time, and makes others late.
 MIN_LATE_CONFIDENCE: Final = 0.2
