--- a/bench/soak.py
+++ b/bench/soak.py
@@ -34,9 +34,11 @@
 ENTRIES: Final = 2
 REPLICAS: Final = 3
 CALLERS: Final = 6
-FAULT_SECONDS: Final = 6.0
+FAULT_SECONDS: Final = 9.0
 #: Time within which a withdrawn key must be refused everywhere.
 REVOCATION_SECONDS: Final = 3.0
+#: Longest time that one fault lasts, in seconds.
+LONGEST_FAULT: Final = 6.1
 #: Time for the service to come back once all faults are over.
 RECOVERY_SECONDS: Final = 15.0
 EVENTS: Final = 12
@@ -126,7 +128,7 @@
                 'streamResumption': True,
             }
             for name, kind, runs in (
-                ('book', 'unsafe', 1),
+                ('book', 'unsafe', 2),
                 ('look', 'safe', 2),
                 ('draft', 'streaming', 3),
             )
@@ -280,7 +282,9 @@
         name = source.choice(sorted(world.routes))
         route = world.routes[name]
         route.set(source.choice(MODES), 0.2)
-        threading.Timer(source.uniform(0.3, 2), route.set, ('none', 0)).start()
+        longest = 6 if name.startswith('store') else 2
+        seconds = source.uniform(0.3, longest)
+        threading.Timer(seconds, route.set, ('none', 0)).start()
 
     def signal_entry() -> None:
         entry = source.choice(world.entries)
@@ -308,7 +312,8 @@
             world.store.forget('keyed.op')
         else:
             world.store.refuse = source.choice((503, 429))
-            threading.Timer(source.uniform(0.5, 3.5), calm_store).start()
+            # Longer than a withdrawn key may be served without the store.
+            threading.Timer(source.uniform(0.5, 6), calm_store).start()
 
     def calm_store() -> None:
         world.store.refuse = 0
@@ -326,8 +331,8 @@
         spoil_store,
         move_endpoint,
     ]
-    if source.random() < 0.5:
-        faults.append(world.take_key)
+    if source.random() < 0.7:
+        faults.extend([world.take_key, spoil_store])
     return faults
 
 
@@ -404,7 +409,7 @@
         time.sleep(world.random.uniform(0.1, 0.8))
     callers.join()
     # Timers that end faults may still be due.
-    time.sleep(2.1)
+    time.sleep(LONGEST_FAULT)
     world.heal()
     told = callers.told
     broken = check(world, told)
