Drop fields and methods that nothing reads; one settings file for tests and soak

Cause: read as a newcomer: decoded fields without a reader, the same settings text twice. Change: no behaviour.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -24,6 +24,7 @@
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
+from standins.boot import REVOCATION_SECONDS, Boot, write_boot_file
 from standins.calls import find_port, wait_until
 from standins.keyedstore import KeyedStore
 from standins.nodes import Node
@@ -35,8 +36,8 @@
 REPLICAS: Final = 3
 CALLERS: Final = 6
 FAULT_SECONDS: Final = 9.0
-#: Time within which a withdrawn key must be refused everywhere.
-REVOCATION_SECONDS: Final = 3.0
+#: Time that an entry has to end, in seconds.
+GRACE_SECONDS: Final = 4
 #: Longest time that one fault lasts, in seconds.
 LONGEST_FAULT: Final = 6.1
 #: Time for the service to come back once all faults are over.
@@ -46,22 +47,6 @@
 HOST: Final = 'desk.example'
 MODES: Final = ('cut', 'refuse', 'freeze', 'lose_replies', 'delay')
 REFUSALS: Final = frozenset((408, 421, 429, 503))
-SETTINGS: Final = """
-nodeName = "{name}"
-zone = "zone-a"
-ipAddress = "{host}"
-[listenAddresses]
-frontend = "{host}:{port}"
-ready = "{host}:{ready}"
-[limits]
-memoryMb = 300
-fileDescriptors = 4200
-[bounds]
-gracePeriodS = 4
-revocationMs = 3000
-[platform]
-address = "{store}"
-"""
 
 
 class Told(NamedTuple):
@@ -202,15 +187,15 @@
         store = self.add_route(f'store-{number}', self.store.port)
         self.routes[name] = Route(find_port(), f'{host}:{port}', number)
         path = folder / f'{name}.toml'
-        path.write_text(
-            SETTINGS.format(
-                name=name,
-                host=host,
-                port=port,
-                ready=find_port(),
-                store=f'127.0.0.1:{store}',
-            )
+        boot = Boot(
+            name,
+            host,
+            port,
+            find_port(),
+            f'127.0.0.1:{store}',
+            GRACE_SECONDS,
         )
+        write_boot_file(path, boot)
         command = [sys.executable, '-m', 'toucancourse.daemon', str(path)]
         return Node(name, command, folder / f'{name}.log')
 
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -53,14 +53,11 @@
     """Remembers its buffered reader, to see bytes past the answer's end."""
 
     reader: BufferedReader | None = None
-    #: True if the answer itself tells where it ends.
-    is_framed = False
 
     def begin(self) -> None:
         """Read the answer's start."""
         self.reader = self.fp
         super().begin()
-        self.is_framed = bool(self.chunked) or self.length is not None
 
     def has_excess(self, sock: socket.socket) -> bool:
         """Return True if bytes follow the answer's last one."""
@@ -191,11 +188,6 @@
         self.is_complete = True
         return b''
 
-    def is_framed(self) -> bool:
-        """Return True if the answer itself tells where it ends."""
-        response = self._response
-        return response is not None and response.is_framed
-
     def cancel(self) -> None:
         """End the exchange from any thread."""
         self._cancelled = True
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -56,11 +56,6 @@
         self._parts: OrderedDict[tuple[str, str], None] = OrderedDict()
         self.update(record)
 
-    @property
-    def key(self) -> tuple[str, int]:
-        """Return identifier and incarnation."""
-        return self.record.identifier, self.record.incarnation
-
     def update(self, record: EndpointRecord) -> None:
         """Take a newer record of the same incarnation."""
         self.record = record
--- a/src/toucancourse/forwarding/evidence.py
+++ b/src/toucancourse/forwarding/evidence.py
@@ -48,11 +48,6 @@
         #: Usual time to an answer, in seconds.
         self._usual: dict[Work, float] = {}
 
-    def clear(self) -> None:
-        """Forget the counts when a roll-out begins."""
-        with self._lock:
-            self._counts.clear()
-
     def note_failure(self, version: str) -> None:
         """Count an answer that failed."""
         self._add(version, is_bad=True)
--- a/src/toucancourse/forwarding/objects.py
+++ b/src/toucancourse/forwarding/objects.py
@@ -54,14 +54,8 @@
     """A pool of equal endpoints."""
 
     name: str
-    #: Connections that one endpoint accepts from all callers together.
-    connection_limit: int
-    #: How long an endpoint stays cold after its start, in seconds.
-    cold_seconds: float
-    #: Requests a second that a cold endpoint bears.
+    #: Requests a second that a cold endpoint bears, or 0 for any number.
     cold_rate: float
-    #: Model -> cost of 1,000 generated tokens; empty for plain services.
-    model_costs: Mapping[str, float]
 
 
 class Account(NamedTuple):
@@ -73,10 +67,9 @@
 
 
 class CallerLimits(NamedTuple):
-    """What a caller may send, and how slowly."""
+    """How slow a caller may be."""
 
-    header_bytes: int
-    body_bytes: int
+    #: How long a connection may stay idle between requests.
     idle_seconds: float
 
 
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -90,6 +90,7 @@
         self._admitted: Admitted | None = None
         self._models = Models(())
         self._tried: set[str] = set()
+        #: Endpoint that was tried last.
         self._current = ''
         #: Attempts that ran or may have run.
         self._runs = 0
@@ -190,7 +191,7 @@
             self._leave(attempt, pending)
 
     def _leave(self, attempt: Attempt, pending: float) -> None:
-        """End an attempt; pending tokens have had no first event."""
+        """End an attempt; pending is reading time that was not used."""
         endpoint = attempt.choice.endpoint
         self._reply.watch(None)
         endpoint.begin(pending)
--- a/src/toucancourse/platform/records.py
+++ b/src/toucancourse/platform/records.py
@@ -33,9 +33,7 @@
 DRAINING: Final = 'draining'
 STATES: Final = frozenset(('ready', DRAINING))
 MS: Final = 1000.0
-#: Limits of callers where a configuration states none.
-HEADER_BYTES: Final = 16_384
-BODY_BYTES: Final = 4_194_304
+#: Idle time of callers where a configuration states none.
 IDLE_MS: Final = 15_000
 ROLLOUT_STATES: Final = {
     'running': 'in_progress',
@@ -177,22 +175,10 @@
 
 
 def _decode_service(row: Mapping[str, Any]) -> Service:
-    engine = row.get('inferenceEngine') or {}
-    return Service(
-        name=row['name'],
-        connection_limit=int(row.get('connectionLimit') or 0),
-        cold_seconds=float(row.get('coldStartS') or 0),
-        cold_rate=float(row.get('coldPerS') or 0),
-        model_costs={
-            model['name']: float(model.get('cost') or 0)
-            for model in engine.get('models') or ()
-        },
-    )
+    return Service(row['name'], float(row.get('coldPerS') or 0))
 
 
 def _decode_limits(row: Mapping[str, Any]) -> CallerLimits:
     return CallerLimits(
-        header_bytes=int(row.get('maxHeaderBytes') or HEADER_BYTES),
-        body_bytes=int(row.get('maxBodyBytes') or BODY_BYTES),
         idle_seconds=float(row.get('idleTimeoutMs') or IDLE_MS) / MS,
     )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -14,6 +14,7 @@
 
 import pytest
 
+from standins.boot import REVOCATION_SECONDS, Boot, write_boot_file
 from standins.calls import Answer, call, find_port, wait_until
 from standins.keyedstore import KeyedStore
 from standins.nodes import Node
@@ -21,26 +22,9 @@
 
 from .forwarding import HOST, KEY, make_table
 
-#: Longest poll of the operators' topic, and the bound that SETTINGS states.
+#: Longest poll of the operators' topic, in seconds.
 POLL_SECONDS = 1.3
-REVOCATION_SECONDS = 3.0
 _hosts = itertools.count(2)
-SETTINGS = """
-nodeName = "{name}"
-zone = "zone-a"
-ipAddress = "{host}"
-[listenAddresses]
-frontend = "{host}:{port}"
-ready = "{host}:{ready}"
-[limits]
-memoryMb = 300
-fileDescriptors = 4200
-[bounds]
-gracePeriodS = 6
-revocationMs = 3000
-[platform]
-address = "{store}"
-"""
 
 
 class Fleet:
@@ -58,15 +42,15 @@
         self.host = f'127.0.0.{next(_hosts)}'
         self.port, self.ready_port = find_port(), find_port()
         self.settings = folder / 'boot.toml'
-        self.settings.write_text(
-            SETTINGS.format(
-                name='entry-1',
-                host=self.host,
-                port=self.port,
-                ready=self.ready_port,
-                store=self.store.address,
-            )
+        boot = Boot(
+            'entry-1',
+            self.host,
+            self.port,
+            self.ready_port,
+            self.store.address,
+            grace=6,
         )
+        write_boot_file(self.settings, boot)
         self.log = folder / 'entry.log'
         self.node = Node(
             'entry-1',
