--- a/standins/demo.py
+++ b/standins/demo.py
@@ -11,6 +11,7 @@
 
 from .calls import Answer, wait_until
 from .fleet import OPERATOR_TOKEN
+from .platformdemo import show_platform
 from .users import KEYS, UserFleet, load_workload
 
 ENTRIES = ('entry-1', 'entry-2')
@@ -225,6 +226,7 @@
     checks.check(len(whole) == len(answers), 'every streamed answer was whole')
     show_bills(fleet, checks)
     show_burn(fleet)
+    show_platform(checks.check)
     for name in ENTRIES:
         code = fleet.daemons[name].stop()
         checks.check(code == 0, f'{name} drained and stopped')
--- /dev/null
+++ b/standins/tables.py
@@ -0,0 +1,49 @@
+"""A configuration as operators of the users' platform write it."""
+
+import json
+from typing import Any
+
+HOST = 'desk.example'
+KEY = 'key-of-a'
+
+
+def make_table(revision: int = 1, **changes: Any) -> bytes:
+    """Return a configuration with a route of each kind."""
+
+    def route(name: str, kind: str, runs: int, **more: Any) -> dict[str, Any]:
+        return {
+            'name': name,
+            'host': HOST,
+            'pathPrefix': f'/{name}/',
+            'kind': kind,
+            'timeoutMs': 2000,
+            'targetLatencyMs': 600,
+            'priority': 1,
+            'service': 'desk',
+            'maxAttempts': runs,
+            'anonymous': False,
+            **more,
+        }
+
+    row = {
+        'version': revision,
+        'routes': [
+            route('book', 'unsafe', 1),
+            route('look', 'safe', 2),
+            route('open', 'safe', 2, anonymous=True),
+            route('draft', 'streaming', 3, streamResumption=True),
+            route(
+                'auto',
+                'streaming',
+                3,
+                streamResumption=True,
+                sizes=['small', 'middle', 'large'],
+            ),
+        ],
+        'services': [
+            {'name': 'desk', 'connectionLimit': 90, 'coldPerS': 10},
+        ],
+        'limits': {'idleTimeoutMs': 15000},
+        'tenants': [{'name': 'account-a', 'apiKeys': [KEY]}],
+    }
+    return json.dumps({**row, **changes}).encode()
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -1,6 +1,5 @@
 """A relay in this process, with endpoints over loopback, for tests."""
 
-import json
 import time
 import uuid
 from collections.abc import Callable
@@ -9,6 +8,7 @@
 from prometheus_client import CollectorRegistry
 
 from standins.replica import Replica
+from standins.tables import HOST, KEY, make_table
 from toucancourse.admission.limits import WindowBudget
 from toucancourse.errors import CourseError
 from toucancourse.forwarding.admission import Admission
@@ -28,51 +28,6 @@
 from toucancourse.platform.records import PlatformDecoder
 from toucancourse.routing.endpoints import Outliers
 
-HOST = 'desk.example'
-KEY = 'key-of-a'
-
-
-def make_table(revision: int = 1, **changes: Any) -> bytes:
-    """Return a configuration with a route of each kind."""
-
-    def route(name: str, kind: str, runs: int, **more: Any) -> dict[str, Any]:
-        return {
-            'name': name,
-            'host': HOST,
-            'pathPrefix': f'/{name}/',
-            'kind': kind,
-            'timeoutMs': 2000,
-            'targetLatencyMs': 600,
-            'priority': 1,
-            'service': 'desk',
-            'maxAttempts': runs,
-            'anonymous': False,
-            **more,
-        }
-
-    row = {
-        'version': revision,
-        'routes': [
-            route('book', 'unsafe', 1),
-            route('look', 'safe', 2),
-            route('open', 'safe', 2, anonymous=True),
-            route('draft', 'streaming', 3, streamResumption=True),
-            route(
-                'auto',
-                'streaming',
-                3,
-                streamResumption=True,
-                sizes=['small', 'middle', 'large'],
-            ),
-        ],
-        'services': [
-            {'name': 'desk', 'connectionLimit': 90, 'coldPerS': 10},
-        ],
-        'limits': {'idleTimeoutMs': 15000},
-        'tenants': [{'name': 'account-a', 'apiKeys': [KEY]}],
-    }
-    return json.dumps({**row, **changes}).encode()
-
 
 class Caller(Reply):
     """Keeps what a caller received."""
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -19,8 +19,7 @@
 from standins.keyedstore import KeyedStore
 from standins.nodes import Node
 from standins.replica import Replica
-
-from .forwarding import HOST, KEY, make_table
+from standins.tables import HOST, KEY, make_table
 
 #: Longest poll of the operators' topic, in seconds.
 POLL_SECONDS = 1.3
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -8,6 +8,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from standins.tables import make_table
 from toucancourse.errors import DECODE_ERRORS
 from toucancourse.forwarding.endpoints import EndpointBook
 from toucancourse.forwarding.objects import Kind
@@ -18,7 +19,7 @@
 from toucancourse.platform.settings import read_node_settings
 from toucancourse.settings.files import SettingsError
 
-from .forwarding import make_request, make_table
+from .forwarding import make_request
 
 
 def make_record(**changes: Any) -> bytes:
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -6,10 +6,11 @@
 
 import pytest
 
+from standins.tables import make_table
 from toucancourse.admission.limits import WindowBudget
 from toucancourse.errors import Outcome
 
-from .forwarding import Caller, Desk, make_table
+from .forwarding import Caller, Desk
 
 #: Time within which work must end after its caller left, in seconds.
 LEFT_SECONDS = 0.5
