--- a/bench/soak.py
+++ b/bench/soak.py
@@ -138,7 +138,10 @@
         self.store.put('keyed.servers', replica.identifier, record)
 
     def all_ready(self) -> bool:
-        """Return True if every entry serves."""
+        """Return True if every entry serves; start those that ended."""
+        for entry in self.entries:
+            if not entry.is_running():
+                entry.start()
         return all(
             self.ask(number, 'look', KEYS[0]).status == 200
             for number in range(ENTRIES)
