Count a call at a cold endpoint when it is chosen

Ruled out: a late record; the entries knew it as cold for 2.9 s. Change: choosing counts at once, and goes on to the next endpoint at the rate. A test chooses twenty times before anything is sent.

--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -121,22 +121,26 @@
             while len(self._parts) > MAX_PARTS:
                 self._parts.popitem(last=False)
 
-    def count_recent(self) -> int:
-        """Return the requests sent there within the last second."""
-        horizon = time.monotonic() - RATE_WINDOW_SECONDS
+    def reserve(self, rate: float) -> bool:
+        """Count a request that will be sent, unless that passes the rate.
+
+        The rate holds for a second while the endpoint is cold; 0 is no limit.
+        """
+        now = time.monotonic()
+        is_limited = bool(rate) and self.is_cold()
         with self.lock:
-            while self._sent and self._sent[0] < horizon:
+            while self._sent and now - self._sent[0] > RATE_WINDOW_SECONDS:
                 self._sent.popleft()
-            return len(self._sent)
+            if is_limited and len(self._sent) + 1 > rate:
+                return False
+            self._sent.append(now)
+            return True
 
     def enter(self, seconds: float) -> None:
         """Count a request that takes some seconds to read."""
         with self.lock:
             self.running += 1
             self.pending += seconds
-            self._sent.append(time.monotonic())
-            if len(self._sent) > 1000:
-                self._sent.popleft()
 
     def begin(self, seconds: float) -> None:
         """Count a request as read that took some seconds."""
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -78,7 +78,11 @@
         endpoints: Sequence[Endpoint],
         wanted: Wanted,
     ) -> Scored | None:
-        """Return the best endpoint, or None if none may take the call."""
+        """Return the best endpoint, or None if none may take the call.
+
+        The call is counted there at once, so that callers who choose at the
+        same moment don't pass a cold endpoint's rate together.
+        """
         usable = [
             endpoint
             for endpoint in endpoints
@@ -88,17 +92,16 @@
             return None
         home = _find_home(call, usable)
         scored = [self._score(call, row, wanted, home) for row in usable]
-        return min(scored, key=lambda row: row.score)
+        rate = self._find_cold_rate(wanted.service)
+        for row in sorted(scored, key=lambda each: each.score):
+            if row.endpoint.reserve(rate):
+                return row
+        return None
 
     def _may_take(self, endpoint: Endpoint, wanted: Wanted) -> bool:
         if endpoint.record.identifier in wanted.tried:
             return False
-        if not endpoint.is_usable():
-            return False
-        if endpoint.is_cold():
-            rate = self._find_cold_rate(wanted.service)
-            return not rate or endpoint.count_recent() + 1 <= rate
-        return True
+        return endpoint.is_usable()
 
     def _score(
         self,
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -140,6 +140,16 @@
             total += sent['i-1']
         assert total <= 8 * COLD_RATE
 
+    def test_calls_that_choose_at_the_same_moment_stay_under_it(self) -> None:
+        # None of them is sent before the last one has chosen.
+        cold = make_endpoint('i-1')
+        cold.note_cold(3)
+        chooser = make_chooser()
+        chosen = [
+            chooser.choose(make_call(), [cold], WANTED) for _ in range(20)
+        ]
+        assert sum(row is not None for row in chosen) <= COLD_RATE
+
     def test_unreachable_endpoint_is_cold_until_it_tells(self) -> None:
         endpoint = make_endpoint('i-1')
         endpoint.note_unreachable()
