Count what waits at endpoints by rank; choose the larger model's place once

Cause: an entry forgot other entries' reported work within half a second, also at an endpoint that answered nothing because its queue was long, and held every running request for as costly as a prompt that waits. Dropped answers left no trace in what is known of kept prompts. The place for the larger model was chosen twice, and counted twice at a cold endpoint.

--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -44,7 +44,7 @@
     route: Route
     account: Account
 
-    def find_rank(self, *, is_largest: bool) -> int:
+    def find_rank(self, model: str) -> int:
         """Return the rank at an endpoint, 0 for the most urgent.
 
         The largest model takes many times as long as the smallest, so short
@@ -53,7 +53,8 @@
         rank = self.route.priority
         if self.account.priority is not None:
             rank = self.account.priority
-        if is_largest:
+        models = self.route.models
+        if len(models) > 1 and model == models[-1]:
             rank += LARGEST_RANKS
         return max(0, min(RANKS - 1, rank))
 
@@ -64,6 +65,8 @@
     scored: Scored
     service: str
     version: str
+    #: Rank at the endpoint, 0 for the most urgent.
+    rank: int
 
     @property
     def endpoint(self) -> Endpoint:
@@ -143,14 +146,15 @@
         )
         if version:
             known = [row for row in known if row.record.version == version]
-        wanted = Wanted(service, version, model, tried)
+        rank = admitted.find_rank(model)
+        wanted = Wanted(service, version, model, tried, rank)
         scored = self._chooser.choose(call, known, wanted)
         if scored is None:
             raise NoEndpointError(
                 f'service "{service}" has no endpoint that can take it',
                 BUSY_RETRY_SECONDS,
             )
-        return Choice(scored, service, scored.endpoint.record.version)
+        return Choice(scored, service, scored.endpoint.record.version, rank)
 
 
 def check_time(call: Call, limit: float, now: float) -> None:
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -10,7 +10,8 @@
 
 from ..errors import DECODE_ERRORS
 from ..membership.feeds import Listener
-from .objects import Call, EndpointRecord, Load
+from .backlog import Backlog
+from .objects import Call, EndpointRecord
 from .records import Decoder
 
 #: How long an endpoint whose entry lapsed in an outage of the store stays in
@@ -18,8 +19,6 @@
 LAPSE_GRACE_SECONDS: Final = 1.8
 #: Prompt parts remembered for each endpoint.
 MAX_PARTS: Final = 2000
-#: A report of load counts half after this time.
-LOAD_HALF_LIFE_SECONDS: Final = 0.5
 #: Weight of the newest answer in an endpoint's usual time.
 PACE_STEP: Final = 0.2
 #: A single answer counts at most this many times the usual one.
@@ -37,11 +36,7 @@
         """Start with no work there."""
         self.lock = threading.Lock()
         self.record = record
-        #: Requests of this entry that are there now.
-        self.running = 0
-        #: Predicted reading time of those that have had no first event, in
-        #: seconds.
-        self.pending = 0.0
+        self.backlog = Backlog()
         #: Observed time over expected time of its answers.
         self.pace = 1.0
         self.cold_until = 0.0
@@ -50,8 +45,6 @@
         #: True until its next record if it could not be reached.
         self.is_suspect = False
         self._pause = FIRST_PAUSE_SECONDS
-        self._others = 0.0
-        self._others_moment = 0.0
         self._sent: deque[float] = deque()
         self._parts: OrderedDict[tuple[str, str], None] = OrderedDict()
         self.update(record)
@@ -77,16 +70,6 @@
             not self.record.draining and time.monotonic() >= self.paused_until
         )
 
-    def others(self) -> float:
-        """Return the estimated requests of other entries there now."""
-        age = time.monotonic() - self._others_moment
-        return float(self._others * 0.5 ** (age / LOAD_HALF_LIFE_SECONDS))
-
-    def note_load(self, load: Load) -> None:
-        """Take the load that came with an answer."""
-        self._others = max(0, load.running + load.waiting - self.running)
-        self._others_moment = time.monotonic()
-
     def note_pace(self, ratio: float) -> None:
         """Take observed over expected time of one answer."""
         self.pace += PACE_STEP * (min(ratio, MAX_PACE) - self.pace)
@@ -136,22 +119,6 @@
             self._sent.append(now)
             return True
 
-    def enter(self, seconds: float) -> None:
-        """Count a request that takes some seconds to read."""
-        with self.lock:
-            self.running += 1
-            self.pending += seconds
-
-    def begin(self, seconds: float) -> None:
-        """Count a request as read that took some seconds."""
-        with self.lock:
-            self.pending = max(0.0, self.pending - seconds)
-
-    def leave(self) -> None:
-        """Count a request that is no longer there."""
-        with self.lock:
-            self.running -= 1
-
 
 class EndpointBook(Listener):
     """All endpoints that are registered, by identifier."""
--- a/src/toucancourse/forwarding/pace.py
+++ b/src/toucancourse/forwarding/pace.py
@@ -15,15 +15,24 @@
 DRIFT: Final = 1.01
 
 
+#: Weight of the newest request in a model's usual reading time.
+USUAL_STEP: Final = 0.05
+
+
 class ReadingPace:
     """Seconds that each model takes for a prompt token."""
 
     def __init__(self) -> None:
         """Start with a guess for all models."""
         self._seconds: dict[str, float] = {}
+        #: Model -> usual reading time of a request, in seconds.
+        self._usual: dict[str, float] = {}
 
     def learn(self, model: str, tokens: int, seconds: float) -> None:
         """Take the time to the first event for some tokens to read."""
+        reading = self.predict(model, tokens)
+        usual = self._usual.get(model, reading)
+        self._usual[model] = usual + USUAL_STEP * (reading - usual)
         if tokens < MIN_TOKENS:
             return
         seen = max(LEAST, (seconds - OVERHEAD_SECONDS) / tokens)
@@ -33,3 +42,11 @@
     def predict(self, model: str, tokens: float) -> float:
         """Return the seconds that reading some tokens takes."""
         return tokens * self._seconds.get(model, FIRST_GUESS)
+
+    def usual(self) -> float:
+        """Return the usual reading time of the slowest model, in seconds.
+
+        Urgent requests are of fast models and seldom wait, so what waits at
+        an endpoint is mostly the slowest model's.
+        """
+        return max(tuple(self._usual.values()), default=0.0)
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -21,7 +21,7 @@
 from .events import EventSplitter
 from .messages import RawRequest
 from .models import Models, is_good_enough, list_models
-from .objects import Call, Head, Kind, Order
+from .objects import Call, Head, Kind, Order, Route
 from .parts import RelayParts
 from .replies import CallerGoneError, Reply
 
@@ -100,15 +100,17 @@
         self._limit = call.deadline
         self._first_event: float | None = None
         self._status = 0
-        #: Version and model that the stream began with.
-        self._bound = ('', '')
+        #: Model that the stream began with.
+        self._stream_model = ''
+        #: Where the next attempt goes, if that was chosen already.
+        self._next: Choice | None = None
+        #: Service whose retry budget the request draws on.
+        self._service = ''
 
     def run(self) -> None:
         """Send the request until it is answered."""
         admitted = self._admit()
         self._models = list_models(admitted.route, self._call)
-        service = admitted.route.shares[0].service
-        self._parts.find_budget(service).note_request()
         while True:
             try:
                 if self._attempt():
@@ -166,21 +168,22 @@
         admitted = self._follow_route()
         if self._reply.is_gone():
             raise CallerGoneError('the caller closed its connection')
-        model = self._bound[1] or self._models.current
-        choice = self._parts.admission.choose(
+        model = self._stream_model or self._models.current
+        choice = self._next or self._parts.admission.choose(
             self._call, admitted, model, self._tried
         )
+        self._next = None
+        self._note_service(choice.service)
         attempt = self._open(admitted, choice, model)
-        endpoint = choice.endpoint
-        pending = choice.scored.reading
-        endpoint.enter(pending)
+        visit = choice.endpoint.backlog.enter(
+            choice.rank, choice.scored.reading
+        )
         self._reply.watch(attempt.exchange.cancel)
         try:
             if self._reply.is_gone():
                 raise CallerGoneError('the caller closed its connection')
             head = self._ask(attempt)
-            endpoint.begin(pending)
-            pending = 0
+            visit.begin()
             return self._take(attempt, head)
         except CourseError as error:
             if self._reply.is_gone():
@@ -188,15 +191,21 @@
             self._note_failure(attempt, error)
             raise
         finally:
-            self._leave(attempt, pending)
+            visit.end()
+            self._release(attempt)
 
-    def _leave(self, attempt: Attempt, pending: float) -> None:
-        """End an attempt; pending is reading time that was not used."""
-        endpoint = attempt.choice.endpoint
+    def _release(self, attempt: Attempt) -> None:
+        """Keep an attempt's connection if it may be used again."""
         self._reply.watch(None)
-        endpoint.begin(pending)
-        endpoint.leave()
-        self._parts.connections.keep(endpoint.record, attempt.exchange)
+        self._parts.connections.keep(
+            attempt.choice.endpoint.record, attempt.exchange
+        )
+
+    def _note_service(self, service: str) -> None:
+        """Count the request's first try for a service's retry budget."""
+        if service != self._service:
+            self._service = service
+            self._parts.find_budget(service).note_request()
 
     def _open(
         self,
@@ -218,7 +227,7 @@
             account=admitted.account.name,
             seconds_left=self._call.deadline - now,
             model=model,
-            rank=admitted.find_rank(is_largest=len(self._models.names) == 1),
+            rank=choice.rank,
             last_event=self._last_event,
         )
         logger.debug(
@@ -227,10 +236,12 @@
             endpoint=record.identifier,
             version=record.version,
             model=model,
+            rank=choice.rank,
             number=self._sends,
-            running=endpoint.running,
-            others=round(endpoint.others(), 1),
+            running=endpoint.backlog.running,
+            others=round(endpoint.backlog.others(), 1),
             fresh_tokens=choice.scored.fresh_tokens,
+            predicted=round(choice.scored.score, 3),
         )
         try:
             exchange = self._parts.connections.open(record, self._call)
@@ -244,7 +255,15 @@
         """Return the start of the endpoint's answer."""
         exchange = attempt.exchange
         self._runs += 1
-        until = self._find_patience(attempt.model)
+        may_repeat = attempt.route.is_repeatable() and (
+            self._runs < attempt.route.max_runs
+        )
+        until = self._limit
+        if may_repeat:
+            usual = self._parts.metrics.find_usual(
+                (attempt.route.name, attempt.model)
+            )
+            until = min(until, find_patience(attempt.route, usual))
         try:
             exchange.send(attempt.order, until)
         except NotSentError:
@@ -253,7 +272,7 @@
         head = exchange.read_head(until)
         endpoint = attempt.choice.endpoint
         if head.load is not None:
-            endpoint.note_load(head.load)
+            endpoint.backlog.note_load(head.load)
         if head.cold_seconds is not None:
             endpoint.note_cold(head.cold_seconds)
         if head.not_run or head.misdirected:
@@ -275,17 +294,6 @@
         except CourseError:
             attempt.exchange.close()
 
-    def _find_patience(self, model: str) -> float:
-        """Return until when an endpoint may take to begin its answer."""
-        assert self._admitted is not None
-        route = self._admitted.route
-        now = time.monotonic()
-        if not route.is_repeatable() or self._runs >= route.max_runs:
-            return self._limit
-        usual = self._parts.metrics.find_usual((route.name, model))
-        patience = max(FIRST_PART * route.objective, SILENT_RATIO * usual)
-        return min(self._limit, now + patience)
-
     def _take(self, attempt: Attempt, head: Head) -> bool:
         """Hand the answer on; return False if it is dropped."""
         assert self._admitted is not None
@@ -350,7 +358,8 @@
     def _drop(self, attempt: Attempt, head: Head) -> bool:
         """Ask a larger model instead, if a retry may be spent on it."""
         assert self._admitted is not None
-        if self._can_enlarge() and self._spend(attempt.choice.service):
+        larger = self._choose_larger()
+        if larger is not None and self._spend():
             logger.info(
                 'answer dropped',
                 call=self._call.identifier,
@@ -358,33 +367,33 @@
                 confidence=head.confidence,
             )
             self._parts.metrics.drops.inc()
+            self._observer.note_success(self._call, attempt)
             attempt.exchange.close()
             self._models = self._models.enlarge()
-            self._tried.discard(attempt.choice.endpoint.record.identifier)
+            self._next = larger
             return False
         self._models = Models((attempt.model,))
         return self._take_stream(attempt, head)
 
-    def _can_enlarge(self) -> bool:
-        """Return True if the larger model has an endpoint now."""
+    def _choose_larger(self) -> Choice | None:
+        """Return where the larger model goes, or None if nowhere now."""
         assert self._admitted is not None
         if self._runs >= self._admitted.route.max_runs:
-            return False
+            return None
         tried = self._tried - {self._current}
         larger = self._models.enlarge().current
         try:
-            self._parts.admission.choose(
+            return self._parts.admission.choose(
                 self._call, self._admitted, larger, tried
             )
         except NoEndpointError:
-            return False
-        return True
+            return None
 
     def _write(self, attempt: Attempt, head: Head, content: bytes) -> None:
         if not self._has_begun:
             self._has_begun = True
             self._status = head.status
-            self._bound = (attempt.choice.version, attempt.model)
+            self._stream_model = attempt.model
             now = time.monotonic()
             self._first_event = round(now - self._call.received, 4)
             self._observer.note_success(self._call, attempt)
@@ -409,10 +418,10 @@
             return False
         if isinstance(error, NotSentError):
             return True
-        return self._spend(route.shares[0].service)
+        return self._spend()
 
-    def _spend(self, service: str) -> bool:
-        budget = self._parts.find_budget(service)
+    def _spend(self) -> bool:
+        budget = self._parts.find_budget(self._service)
         is_free = budget.spend(self._parts.count_entries())
         self._parts.metrics.retries.labels(str(is_free)).inc()
         return is_free
@@ -442,3 +451,12 @@
         self._observer.note_failure(
             self._call, attempt, error, has_begun=self._has_begun
         )
+
+
+def find_patience(route: Route, usual: float) -> float:
+    """Return until when an endpoint may take to begin its answer.
+
+    usual is the time that it usually takes, in seconds.
+    """
+    patience = max(FIRST_PART * route.objective, SILENT_RATIO * usual)
+    return time.monotonic() + patience
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -10,8 +10,6 @@
 from .objects import Call
 from .pace import ReadingPace
 
-#: Time that each other request at an endpoint takes from a new one, seconds.
-RUNNING_SECONDS: Final = 0.02
 #: Time that any request takes, in seconds.
 BASE_SECONDS: Final = 0.02
 #: Share of a prompt's shared tokens that counts as read at its home.
@@ -40,6 +38,8 @@
     model: str
     #: Identifiers that were tried already.
     tried: Collection[str]
+    #: Rank at the endpoint, 0 for the most urgent.
+    rank: int = 0
 
 
 class Scored(NamedTuple):
@@ -117,9 +117,8 @@
             fresh = min(fresh, int(call.prompt_tokens - HOME_SHARE * shared))
         fresh = max(0, fresh)
         reading = self._pace.predict(wanted.model, fresh)
-        others = endpoint.running + endpoint.others()
-        waiting = endpoint.pending + others * RUNNING_SECONDS
-        score = (BASE_SECONDS + reading + waiting) * endpoint.pace
+        wait = endpoint.backlog.find_wait(wanted.rank, self._pace.usual())
+        score = (BASE_SECONDS + reading + wait) * endpoint.pace
         if endpoint.record.zone != self._zone:
             score += _weigh_hop(call)
         failing = self._outliers.failing(identifier)
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -1,5 +1,6 @@
 """Where work goes, under the loads that fleets meet."""
 
+import time
 from collections import Counter
 
 import pytest
@@ -63,7 +64,7 @@
         if scored is None:
             sent['refused'] += 1
             continue
-        scored.endpoint.enter(scored.reading)
+        scored.endpoint.backlog.enter(0, scored.reading)
         sent[scored.endpoint.record.identifier] += 1
     return sent
 
@@ -121,7 +122,7 @@
 
     def test_busy_zone_hands_over(self) -> None:
         near, far = make_endpoint('near'), make_endpoint('far', 'zone-b')
-        near.note_load(Load(60, 10, 128))
+        near.backlog.note_load(Load(60, 10, 128))
         sent = replay(
             make_chooser(), [near, far], [make_call(body=bytes(18_000))]
         )
@@ -207,3 +208,60 @@
             pace.learn('small', 9000, 0.1)
         ratio = pace.predict('large', 1000) / pace.predict('small', 1000)
         assert 6 < ratio < 10
+
+
+class TestWaitingWork:
+    """Pattern: long prompts wait at some endpoints, of which no news comes."""
+
+    def test_reported_work_is_not_forgotten_within_a_second(
+        self, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        loaded, other = make_endpoint('loaded'), make_endpoint('other')
+        chooser = make_chooser()
+        chooser._pace.learn('m', 4000, 0.6)
+        loaded.backlog.note_load(Load(10, 30, 128))
+        other.backlog.enter(0, 0.5)
+        now = time.monotonic()
+        monkeypatch.setattr(time, 'monotonic', lambda: now + 1)
+        scored = chooser.choose(make_call(), [loaded, other], WANTED)
+        assert scored is not None
+        assert scored.endpoint is other
+
+    def test_urgent_request_passes_long_work(self) -> None:
+        long_work, urgent_work = make_endpoint('long'), make_endpoint('urgent')
+        long_work.backlog.enter(4, 2.0)
+        urgent_work.backlog.enter(0, 0.8)
+        scored = make_chooser().choose(
+            make_call(), [long_work, urgent_work], WANTED
+        )
+        assert scored is not None
+        assert scored.endpoint is long_work
+
+    def test_long_work_waits_for_urgent_work(self) -> None:
+        long_work, urgent_work = make_endpoint('long'), make_endpoint('urgent')
+        long_work.backlog.enter(4, 2.0)
+        urgent_work.backlog.enter(0, 0.8)
+        scored = make_chooser().choose(
+            make_call(), [long_work, urgent_work], WANTED._replace(rank=4)
+        )
+        assert scored is not None
+        assert scored.endpoint is urgent_work
+
+    def test_visits_leave_nothing_behind(self) -> None:
+        endpoint = make_endpoint('i-1')
+        visits = [endpoint.backlog.enter(rank, 0.3) for rank in range(5)]
+        for visit in visits[:3]:
+            visit.begin()
+            visit.begin()
+        for visit in visits:
+            visit.end()
+        assert endpoint.backlog.find_wait(9, 0.1) == pytest.approx(0)
+        assert endpoint.backlog.running == 0
+
+    def test_own_requests_are_no_others(self) -> None:
+        endpoint = make_endpoint('i-1')
+        for _ in range(3):
+            endpoint.backlog.enter(0, 0.1)
+        endpoint.backlog.enter(0, 0.1).begin()
+        endpoint.backlog.note_load(Load(1, 3, 128))
+        assert endpoint.backlog.others() == 0
