Let entries that learn of a roll-out late go with the others

Cause: an entry counted a roll-out's time from its own first sight of the order. Ruled out: the changed choice of endpoints, which does not touch versions. Change: the first entry that sees an order writes its time of day, and later that the version was found good, beside the registrations; the others count from there. What an entry itself finds bad still counts first. The old decision test reads the store between two checks now, as the daemon does, since a record of one's own stands between them.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -14,6 +14,7 @@
 from ..forwarding.connections import Connections
 from ..forwarding.endpoints import Endpoint, EndpointBook
 from ..forwarding.metrics import ForwardingMetrics
+from ..forwarding.moves import MoveBook
 from ..forwarding.pace import ReadingPace
 from ..forwarding.parts import RelayParts
 from ..forwarding.peers import EntryBook, Listeners
@@ -78,7 +79,10 @@
         self._connections = Connections(codec)
         self._endpoints = EndpointBook(decoder, self._forget)
         self._operators = OperatorBook(decoder, self._endpoints.suspect_zone)
-        self._rollouts = Rollouts(decoder, self._operators, settings.session)
+        self._moves = MoveBook()
+        self._rollouts = Rollouts(
+            decoder, self._operators, settings.session, self._moves
+        )
         self._entries = EntryBook(settings.instance)
         self._metrics = ForwardingMetrics()
         self._build_feeds()
@@ -88,6 +92,7 @@
             self._status_topic,
             decoder,
             self._status_feed,
+            self._moves,
         )
         self._budgets: dict[str, WindowBudget] = defaultdict(self._make_budget)
         self._leaving = threading.Event()
@@ -185,7 +190,7 @@
         self._status_feed = Feed(
             'statuses',
             StoreTopic(store, names.STATUS_TOPIC),
-            Listeners(self._rollouts, self._entries),
+            Listeners(self._rollouts, self._moves, self._entries),
             Pace(STATUS_WAIT, 0, RETRY),
         )
 
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import threading
+import time
 from collections import OrderedDict
 from collections.abc import Iterable
 from enum import StrEnum
@@ -14,6 +15,8 @@
 from ..membership.feeds import Feed, Listener
 from ..membership.topics import Topic
 from .evidence import Evidence, Work
+from .moves import Move, MoveBook, encode_move
+from .objects import RolloutOrder
 from .records import Decoder, RolloutStatus
 from .tables import OperatorBook, TimedOrder
 
@@ -60,8 +63,10 @@
         decoder: Decoder,
         operators: OperatorBook,
         session_seconds: float,
+        moves: MoveBook,
     ) -> None:
         """Keep the parts; a session ends after session_seconds."""
+        self._moves = moves
         self._decoder = decoder
         self._operators = operators
         self._session_seconds = session_seconds
@@ -95,6 +100,26 @@
             return State.running
         return State(status.state)
 
+    def find_progress(self, timed: TimedOrder) -> float:
+        """Return the part of an order's time that has passed.
+
+        It counts from the first sight of the order by any entry.
+        """
+        order = timed.order
+        move = self._moves.find(order)
+        began = timed.seen if move is None else min(timed.seen, move.began)
+        return (read_clock() - began) / max(1.0, order.duration)
+
+    def is_good(self, order: RolloutOrder) -> bool:
+        """Return True if this entry or another found the version good."""
+        evidence = self.evidence(order.service)
+        if evidence.is_bad(order.target):
+            return False
+        move = self._moves.find(order)
+        return evidence.is_good(order.target) or (
+            move is not None and move.is_good
+        )
+
     def note_answer(
         self,
         service: str,
@@ -106,7 +131,7 @@
         timed = self._operators.order(service)
         slow_ratio = None
         if timed is not None and timed.order.target == version:
-            has_moved = _find_progress(timed) >= MOVE_FROM
+            has_moved = self.find_progress(timed) >= MOVE_FROM
             slow_ratio = MOVED_SLOW_RATIO if has_moved else SLOW_RATIO
         self.evidence(service).note_answer(version, work, seconds, slow_ratio)
 
@@ -154,8 +179,8 @@
         if evidence.is_bad(order.target):
             return old
         share = TRIAL_SHARE
-        if evidence.is_good(order.target):
-            share = _find_share(_find_progress(timed))
+        if self.is_good(order):
+            share = _find_share(self.find_progress(timed))
         drawn = hashlib.blake2b(
             f'{order.service}\0{order.target}\0{seed}'.encode(), digest_size=4
         )
@@ -177,7 +202,9 @@
             return version
         if self.evidence(order.service).is_bad(order.target):
             return version
-        if pin.version == order.target or _find_progress(timed) < MOVE_FROM:
+        if pin.version == order.target or (
+            self.find_progress(timed) < MOVE_FROM
+        ):
             return pin.version
         return version
 
@@ -192,8 +219,10 @@
         topic: Topic,
         decoder: Decoder,
         feed: Feed,
+        moves: MoveBook,
     ) -> None:
         """Keep the parts; check() is called often."""
+        self._moves = moves
         self._rollouts = rollouts
         self._operators = operators
         self._topic = topic
@@ -210,33 +239,39 @@
             }:
                 continue
             state = self._judge(timed)
-            if state is not None:
-                self._write(timed, state)
+            if state is None:
+                self._tell_move(timed)
+            else:
+                self._write_state(timed, state)
 
     def _judge(self, timed: TimedOrder) -> State | None:
         order = timed.order
-        evidence = self._rollouts.evidence(order.service)
-        progress = _find_progress(timed)
-        if evidence.is_bad(order.target):
+        progress = self._rollouts.find_progress(timed)
+        if self._rollouts.evidence(order.service).is_bad(order.target):
             return State.back
-        if progress >= COMPLETE_AT and evidence.is_good(order.target):
+        is_good = self._rollouts.is_good(order)
+        if progress >= COMPLETE_AT and is_good:
             return State.done
         if progress >= GIVE_UP_AT:
             return State.back
         return None
 
-    def _write(self, timed: TimedOrder, state: State) -> None:
+    def _tell_move(self, timed: TimedOrder) -> None:
+        """Write when the move began, and that it may go on."""
         order = timed.order
-        end = self._feed.find_end()
-        if end is None:
+        progress = self._rollouts.find_progress(timed)
+        is_good = progress >= MOVE_FROM and self._rollouts.is_good(order)
+        known = self._moves.find(order)
+        if known is not None and (known.is_good or not is_good):
             return
+        began = time.time() - progress * max(1.0, order.duration)
+        move = Move(order.service, order.target, began, is_good)
+        self._write(*encode_move(move))
+
+    def _write_state(self, timed: TimedOrder, state: State) -> None:
+        order = timed.order
         status = RolloutStatus(order.service, str(state), order.target)
-        key, content = self._decoder.encode_status(status)
-        try:
-            is_first = self._topic.append(key, content, end)
-        except LogDownError as error:
-            logger.warning('status not written', why=error.text)
-            return
+        is_first = self._write(*self._decoder.encode_status(status))
         evidence = self._rollouts.evidence(order.service)
         logger.info(
             'roll-out decided',
@@ -244,17 +279,23 @@
             target=order.target,
             state=str(state),
             written=is_first,
-            progress=round(_find_progress(timed), 3),
+            progress=round(self._rollouts.find_progress(timed), 3),
             new=evidence.count(order.target),
         )
 
+    def _write(self, key: str, content: bytes) -> bool:
+        """Write a record if all before it is known; return True if it was."""
+        end = self._feed.find_end()
+        if end is None:
+            return False
+        try:
+            return self._topic.append(key, content, end)
+        except LogDownError as error:
+            logger.warning('status not written', key=key, why=error.text)
+            return False
+
 
 def _find_share(progress: float) -> float:
     """Return a good version's share of new sessions."""
     moved = (progress - MOVE_FROM) / (MOVE_TO - MOVE_FROM)
     return max(TRIAL_SHARE, min(1.0, moved))
-
-
-def _find_progress(timed: TimedOrder) -> float:
-    """Return the part of the order's time that has passed."""
-    return (read_clock() - timed.seen) / max(1.0, timed.order.duration)
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -16,6 +16,7 @@
 from toucancourse.forwarding.endpoints import Endpoint, EndpointBook
 from toucancourse.forwarding.messages import RawRequest
 from toucancourse.forwarding.metrics import ForwardingMetrics
+from toucancourse.forwarding.moves import MoveBook
 from toucancourse.forwarding.objects import Headers
 from toucancourse.forwarding.pace import ReadingPace
 from toucancourse.forwarding.parts import RelayParts
@@ -94,7 +95,7 @@
         self.operators = OperatorBook(decoder)
         self.dropped: list[Endpoint] = []
         self.endpoints = EndpointBook(decoder, self.dropped.append)
-        self.rollouts = Rollouts(decoder, self.operators, 5)
+        self.rollouts = Rollouts(decoder, self.operators, 5, MoveBook())
         self.outliers = Outliers()
         self.connections = Connections(codec)
         self.budget = WindowBudget(0.5, 20, 10)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -13,10 +13,14 @@
 )
 
 from toucancourse.errors import LogDownError
+from toucancourse.forwarding import moves as moves_module
 from toucancourse.forwarding import rollouts as module
 from toucancourse.forwarding.evidence import Evidence, Work
+from toucancourse.forwarding.moves import STALE_AFTER, MoveBook
+from toucancourse.forwarding.peers import Listeners
 from toucancourse.forwarding.rollouts import (
     MOVE_FROM,
+    MOVE_TO,
     MOVED_SLOW_RATIO,
     SLOW_RATIO,
     TRIAL_SHARE,
@@ -24,7 +28,7 @@
     Rollouts,
     State,
 )
-from toucancourse.forwarding.tables import OperatorBook
+from toucancourse.forwarding.tables import OperatorBook, TimedOrder
 from toucancourse.membership.feeds import Feed, Pace
 from toucancourse.membership.topics import Record, Records, Topic
 from toucancourse.platform.records import PlatformDecoder
@@ -83,12 +87,29 @@
         decoder = PlatformDecoder()
         self.operators = OperatorBook(decoder)
         self.operators.apply('rollout/desk', ORDER)
-        self.rollouts = Rollouts(decoder, self.operators, 5)
-        self.feed = Feed('statuses', topic, self.rollouts, Pace(0, 0))
+        self.moves = MoveBook()
+        self.rollouts = Rollouts(decoder, self.operators, 5, self.moves)
+        self.feed = Feed(
+            'statuses',
+            topic,
+            Listeners(self.rollouts, self.moves),
+            Pace(0, 0),
+        )
         self.judge = RolloutJudge(
-            self.rollouts, self.operators, topic, decoder, self.feed
+            self.rollouts,
+            self.operators,
+            topic,
+            decoder,
+            self.feed,
+            self.moves,
         )
 
+    def step(self) -> None:
+        """Read the store, decide, and read it again."""
+        self.feed._step()
+        self.judge.check()
+        self.feed._step()
+
     @property
     def evidence(self) -> Evidence:
         """Return what it knows of the service's versions."""
@@ -99,6 +120,12 @@
         for _ in range(count):
             self.rollouts.note_answer('desk', version, WORK, seconds)
 
+    def timed(self) -> TimedOrder:
+        """Return the order."""
+        timed = self.operators.order('desk')
+        assert timed is not None
+        return timed
+
     def state(self) -> State:
         """Return how the roll-out stands."""
         return self.rollouts.find_state('desk', 'v2')
@@ -118,6 +145,8 @@
     built = Clock()
     monkeypatch.setattr(module, 'read_clock', built)
     monkeypatch.setattr('toucancourse.forwarding.tables.read_clock', built)
+    monkeypatch.setattr('toucancourse.forwarding.moves.read_clock', built)
+    monkeypatch.setattr('time.time', lambda: 1e9 + built.now)
     yield built
 
 
@@ -209,11 +238,10 @@
         entry.feed._step()
         entry.answer('v2', 20)
         clock.now += 18
-        entry.judge.check()
+        entry.step()
         assert entry.state() is State.running
         clock.now += 1
-        entry.judge.check()
-        entry.feed._step()
+        entry.step()
         assert entry.state() is State.done
 
     def test_paused_entry_does_not_undo_a_decision(self, clock: Clock) -> None:
@@ -233,6 +261,48 @@
             assert entry.state() is State.back
 
 
+class TestLateEntry:
+    """Pattern: an entry cut off or killed while a version is rolled out."""
+
+    def test_it_sends_sessions_where_the_others_do(self, clock: Clock) -> None:
+        topic = SharedTopic()
+        first = Entry(topic)
+        first.step()
+        first.answer('v2', 20)
+        clock.now += 20 * (MOVE_TO + 0.01)
+        first.step()
+        late = Entry(topic)
+        late.step()
+        assert late.share() == first.share() == 1.0
+
+    def test_version_it_finds_bad_gets_nothing(self, clock: Clock) -> None:
+        topic = SharedTopic()
+        first = Entry(topic)
+        first.step()
+        first.answer('v2', 20)
+        clock.now += 20 * (MOVE_TO + 0.01)
+        first.step()
+        late = Entry(topic)
+        late.feed._step()
+        late.answer('v1', 60)
+        for _ in range(12):
+            late.evidence.note_failure('v2')
+        assert late.share() == 0
+
+    def test_second_order_to_a_version_starts_anew(self, clock: Clock) -> None:
+        topic = SharedTopic()
+        Entry(topic).step()
+        clock.now += 20 * (STALE_AFTER + 0.1)
+        late = Entry(topic)
+        late.step()
+        assert late.state() is State.running
+
+    def test_damaged_record_is_passed_over(self, clock: Clock) -> None:
+        entry = Entry(SharedTopic())
+        entry.moves.apply('move/desk', b'{"target": 3, "began": "x"}')
+        assert entry.rollouts.find_progress(entry.timed()) == 0
+
+
 class RolloutMachine(RuleBasedStateMachine):
     """Entries decide with lost answers, outages and pauses."""
 
@@ -240,7 +310,7 @@
         """Start three entries on one topic."""
         super().__init__()
         self.clock = Clock()
-        module.read_clock = self.clock
+        module.read_clock = moves_module.read_clock = self.clock
         self.topic = SharedTopic()
         self.entries = [Entry(self.topic) for _ in range(3)]
 
@@ -299,7 +369,7 @@
 
     def teardown(self) -> None:
         """Give the module its clock back."""
-        module.read_clock = REAL_CLOCK
+        module.read_clock = moves_module.read_clock = REAL_CLOCK
 
 
 REAL_CLOCK = module.read_clock
