Ask the larger model by the wait predicted at its place

Cause: whether a small model's answer was kept depended on the larger model's usual time over all endpoints, so answers were dropped for places that were known to be busy, and came late. Change: the place is chosen first; its predicted time, or the usual one if that is longer, decides. The log line tells the prediction.

--- a/src/toucancourse/forwarding/models.py
+++ b/src/toucancourse/forwarding/models.py
@@ -1,10 +1,9 @@
 """Which model answers a request, and when a larger one is asked."""
 
-import time
 from collections.abc import Sequence
 from typing import Final, NamedTuple
 
-from .objects import Call, Head, Route
+from .objects import Call, Route
 
 #: Confidence in [0, 1] from which on a smaller model's answer is taken.
 MIN_CONFIDENCE: Final = 0.5
@@ -29,6 +28,12 @@
         """Return the models without the one that was not good enough."""
         return Models(self.names[-1:])
 
+    def may_doubt(self, confidence: float | None) -> bool:
+        """Return True if a larger model may have to be asked."""
+        if len(self.names) < 2 or confidence is None:
+            return False
+        return confidence < MIN_CONFIDENCE
+
 
 def list_models(route: Route, call: Call) -> Models:
     """Return the models for a call: the smallest, then the largest."""
@@ -39,23 +44,6 @@
     return Models((route.models[0], route.models[-1]))
 
 
-def is_good_enough(
-    route: Route,
-    call: Call,
-    models: Models,
-    head: Head,
-    larger_seconds: float,
-) -> bool:
-    """Return True if the answer that begins is worth handing on.
-
-    larger_seconds is the time that the larger model usually takes.
-    """
-    if len(models.names) < 2 or head.confidence is None:
-        return True
-    left = call.received + route.objective - time.monotonic()
-    return head.confidence >= find_wanted(larger_seconds, left)
-
-
 def find_wanted(larger_seconds: float, left: float) -> float:
     """Return the confidence from which on a small model's answer is taken.
 
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -20,7 +20,7 @@
 from .connections import NotSentError, SilentError
 from .events import EventSplitter
 from .messages import RawRequest
-from .models import Models, is_good_enough, list_models
+from .models import Models, find_wanted, list_models
 from .objects import Call, Head, Kind, Order, Route
 from .parts import RelayParts
 from .replies import CallerGoneError, Reply
@@ -329,8 +329,8 @@
         return True
 
     def _take_stream(self, attempt: Attempt, head: Head) -> bool:
-        if not self._has_begun and not self._is_good_enough(head):
-            return self._drop(attempt, head)
+        if not self._has_begun and self._asks_larger(attempt, head):
+            return False
         splitter = EventSplitter()
         exchange = attempt.exchange
         while True:
@@ -348,32 +348,38 @@
         self._reply.finish()
         return True
 
-    def _is_good_enough(self, head: Head) -> bool:
-        assert self._admitted is not None
-        route = self._admitted.route
-        larger = self._models.enlarge().current
-        usual = self._parts.metrics.find_usual((route.name, larger))
-        return is_good_enough(route, self._call, self._models, head, usual)
-
-    def _drop(self, attempt: Attempt, head: Head) -> bool:
-        """Ask a larger model instead, if a retry may be spent on it."""
-        assert self._admitted is not None
+    def _asks_larger(self, attempt: Attempt, head: Head) -> bool:
+        """Drop the answer for a larger model's, if that is worth it."""
+        if not self._models.may_doubt(head.confidence):
+            return False
         larger = self._choose_larger()
-        if larger is not None and self._spend():
-            logger.info(
-                'answer dropped',
-                call=self._call.identifier,
-                model=attempt.model,
-                confidence=head.confidence,
-            )
-            self._parts.metrics.drops.inc()
-            self._observer.note_success(self._call, attempt)
-            attempt.exchange.close()
-            self._models = self._models.enlarge()
-            self._next = larger
+        if larger is None or self._is_good_enough(head, larger):
             return False
-        self._models = Models((attempt.model,))
-        return self._take_stream(attempt, head)
+        if not self._spend():
+            return False
+        logger.info(
+            'answer dropped',
+            call=self._call.identifier,
+            model=attempt.model,
+            confidence=head.confidence,
+            predicted=round(larger.scored.score, 3),
+        )
+        self._parts.metrics.drops.inc()
+        self._observer.note_success(self._call, attempt)
+        attempt.exchange.close()
+        self._models = self._models.enlarge()
+        self._next = larger
+        return True
+
+    def _is_good_enough(self, head: Head, larger: Choice) -> bool:
+        """Return True if waiting for the larger model is worth less."""
+        assert self._admitted is not None
+        route = self._admitted.route
+        model = self._models.enlarge().current
+        usual = self._parts.metrics.find_usual((route.name, model))
+        left = self._call.received + route.objective - time.monotonic()
+        wanted = find_wanted(max(usual, larger.scored.score), left)
+        return head.confidence is None or head.confidence >= wanted
 
     def _choose_larger(self) -> Choice | None:
         """Return where the larger model goes, or None if nowhere now."""
