Let entries tell each other of their work at endpoints and of old sessions

Cause, load: an entry knows a seventh of what waits at an endpoint; the endpoints' own reports come with answers only, late where the queue is long. Change: gRPC streams between entries, at the addresses that they register; ten reports a second of what changed, by rank. Past 24 entries nobody tells and reports count as before. Sessions that a trial must leave alone are told while one runs. gRPC is loaded after callers are served.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -1,5 +1,6 @@
 """The entry on the users' platform: wires the parts and runs them."""
 
+import importlib
 import threading
 import time
 from collections import defaultdict
@@ -13,6 +14,7 @@
 from ..forwarding.admission import PROOF_SHARE, Admission
 from ..forwarding.connections import Connections
 from ..forwarding.endpoints import Endpoint, EndpointBook
+from ..forwarding.loads import LoadBook
 from ..forwarding.metrics import ForwardingMetrics
 from ..forwarding.moves import MoveBook
 from ..forwarding.pace import ReadingPace
@@ -83,7 +85,8 @@
         self._rollouts = Rollouts(
             decoder, self._operators, settings.session, self._moves
         )
-        self._entries = EntryBook(settings.instance)
+        self._entries = EntryBook(settings.instance, settings.peers)
+        self._loads = LoadBook(self._entries.count)
         self._metrics = ForwardingMetrics()
         self._build_feeds()
         self._judge = RolloutJudge(
@@ -99,7 +102,13 @@
         self._stopped = threading.Event()
         outliers = Outliers()
         pace = ReadingPace()
-        chooser = Chooser(settings.zone, outliers, pace, self._find_cold_rate)
+        chooser = Chooser(
+            settings.zone,
+            outliers,
+            pace,
+            self._find_cold_rate,
+            self._loads,
+        )
         self._relay = Relay(
             RelayParts(
                 codec=codec,
@@ -129,6 +138,8 @@
             _start_thread(feed.run)
         _start_thread(self._register)
         _start_thread(self._tick)
+        if self._settings.peers:
+            _start_thread(self._tell)
         self._health_server.start()
         self._ingress.start()
         logger.info(
@@ -256,6 +267,28 @@
     def _leave(self) -> None:
         self._entries.leave(self._status_topic, self._status_feed)
 
+    def _tell(self) -> None:
+        """Exchange the work at endpoints with the other entries."""
+        # gRPC takes longer to load than all else; callers are served before.
+        telling = importlib.import_module('..forwarding.telling', __package__)
+        links = telling.LoadLinks(
+            self._settings.instance,
+            lambda: telling.OwnState(
+                self._endpoints.describe_work(),
+                self._rollouts.list_old_sessions(),
+            ),
+            telling.LoadServicer(self._loads, self._rollouts.hold_old_session),
+        )
+        try:
+            links.serve(self._settings.peers)
+        except RuntimeError as error:
+            # Requests are served all the same, by the endpoints' reports.
+            logger.error('peers not served', why=str(error))
+            return
+        while not self._stopped.wait(TICK_SECONDS):
+            links.follow(self._entries.list_others())
+            self._loads.sweep()
+
     def _tick(self) -> None:
         while not self._stopped.wait(TICK_SECONDS):
             self._judge.check()
--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -1,6 +1,5 @@
 """Whether a request may be sent to an endpoint now, and to which."""
 
-import hashlib
 from collections.abc import Callable
 from typing import Final, NamedTuple
 
@@ -10,6 +9,7 @@
     StaleError,
     UnavailableError,
 )
+from .digests import hash_text
 from .endpoints import Endpoint, EndpointBook
 from .objects import Account, Call, Route
 from .rollouts import Rollouts
@@ -177,10 +177,3 @@
         if place < 0 and share.weight > 0:
             return share.service
     return route.shares[0].service
-
-
-def hash_text(text: str) -> int:
-    """Return a number that is the same for a text in every process."""
-    return int.from_bytes(
-        hashlib.blake2b(text.encode(), digest_size=4).digest(), 'big'
-    )
--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -49,7 +49,19 @@
         work = Work(attempt.route.name, attempt.model, fresh.bit_length())
         rollouts = self._parts.rollouts
         rollouts.note_answer(choice.service, choice.version, work, seconds)
-        rollouts.note_session(choice.service, call.session, choice.version)
+        rollouts.hold_session(
+            choice.service,
+            call.session,
+            choice.version,
+            max(0.0, call.deadline - time.monotonic()),
+        )
+
+    def note_end(self, call: Call, attempt: Attempt) -> None:
+        """Let the session's time run from the end of its answer."""
+        choice = attempt.choice
+        self._parts.rollouts.hold_session(
+            choice.service, call.session, choice.version, 0
+        )
 
     def note_failure(
         self,
--- a/src/toucancourse/forwarding/backlog.py
+++ b/src/toucancourse/forwarding/backlog.py
@@ -3,8 +3,10 @@
 import threading
 import time
 from collections import defaultdict
+from collections.abc import Iterable
 from typing import Final
 
+from .loads import Work
 from .objects import Load
 
 #: A report of other entries' work counts half after this time: reading what
@@ -15,6 +17,9 @@
 LESS_URGENT_PART: Final = 0.2
 #: Time that each running request takes from a new one, in seconds.
 RUNNING_SECONDS: Final = 0.005
+#: Reading time that is not worth telling others of, in seconds.
+LEAST_TOLD_SECONDS: Final = 0.005
+RANKS: Final = range(10)
 
 
 class Backlog:
@@ -50,18 +55,33 @@
         """Return the estimated requests of other entries there now."""
         return (self._others_running + self._others_waiting) * self._fade()
 
-    def find_wait(self, rank: int, usual_reading: float) -> float:
+    def describe(self) -> Work:
+        """Return this entry's work here, for other entries."""
+        with self._lock:
+            reading = [self._reading.get(rank, 0.0) for rank in RANKS]
+            running = self.running
+        while reading and reading[-1] < LEAST_TOLD_SECONDS:
+            reading.pop()
+        return Work(running, tuple(round(row, 2) for row in reading))
+
+    def find_wait(
+        self,
+        rank: int,
+        usual_reading: float,
+        told: Work | None,
+    ) -> float:
         """Return the seconds until a request of a rank is read.
 
-        usual_reading is the time that a waiting request of another entry
-        takes to read; its rank is not known.
+        told is the work of the other entries if they tell. If not, it is
+        estimated from reports, with usual_reading for each request of theirs
+        that waits.
         """
         with self._lock:
-            reading = tuple(self._reading.items())
-        wait = self.running * RUNNING_SECONDS
-        for other_rank, seconds in reading:
-            part = 1.0 if other_rank <= rank else LESS_URGENT_PART
-            wait += part * seconds
+            own = tuple(self._reading.items())
+        wait = sum_reading(own, rank) + self.running * RUNNING_SECONDS
+        if told is not None:
+            wait += sum_reading(enumerate(told.reading), rank)
+            return wait + told.running * RUNNING_SECONDS
         waiting = self._others_waiting * max(RUNNING_SECONDS, usual_reading)
         running = self._others_running * RUNNING_SECONDS
         return wait + (waiting + running) * self._fade()
@@ -105,3 +125,14 @@
         """Count it as no longer there; called once."""
         self.begin()
         self._backlog.count(-1, self._rank, 0, 0)
+
+
+def sum_reading(reading: Iterable[tuple[int, float]], rank: int) -> float:
+    """Return the seconds by which others delay a request of a rank.
+
+    They are given as ranks and the time that reading their prompts takes.
+    """
+    return sum(
+        seconds if other <= rank else LESS_URGENT_PART * seconds
+        for other, seconds in reading
+    )
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -11,6 +11,8 @@
 from ..errors import DECODE_ERRORS
 from ..membership.feeds import Listener
 from .backlog import Backlog
+from .digests import hash_text
+from .loads import Work
 from .objects import Call, EndpointRecord
 from .records import Decoder
 
@@ -143,6 +145,13 @@
             and not endpoint.record.draining
         ]
 
+    def describe_work(self) -> dict[int, Work]:
+        """Return this entry's work by the digests of endpoints."""
+        return {
+            hash_text(key): endpoint.backlog.describe()
+            for key, endpoint in tuple(self._endpoints.items())
+        }
+
     def apply(self, key: str, content: bytes | None) -> None:
         """Take an endpoint's newest record, or its end."""
         if content is None:
--- a/src/toucancourse/forwarding/peers.py
+++ b/src/toucancourse/forwarding/peers.py
@@ -13,6 +13,8 @@
 #: Tries to register or leave before it is given up.
 MAX_TRIES: Final = 20
 PAUSE_SECONDS: Final = 0.25
+#: Registered by an entry that has no address for others.
+NO_ADDRESS: Final = '-'
 
 
 class EntryBook(Listener):
@@ -21,10 +23,12 @@
     Limits are divided among them, so one too many only makes shares smaller.
     """
 
-    def __init__(self, name: str) -> None:
-        """Keep this entry's name."""
+    def __init__(self, name: str, address: str) -> None:
+        """Keep this entry's name and "host:port" for the others, or ''."""
         self._name = name
-        self._entries: set[str] = set()
+        self._address = address or NO_ADDRESS
+        #: Key -> "host:port" of the entry.
+        self._entries: dict[str, str] = {}
         self._is_leaving = False
 
     def apply(self, key: str, content: bytes | None) -> None:
@@ -32,9 +36,9 @@
         if not key.startswith(PREFIX):
             return
         if content is None:
-            self._entries.discard(key)
+            self._entries.pop(key, None)
         else:
-            self._entries.add(key)
+            self._entries[key] = content.decode('utf-8', 'replace')
         logger.info('entries known', entries=len(self._entries), changed=key)
 
     def count(self) -> int:
@@ -43,14 +47,22 @@
 
     def is_registered(self) -> bool:
         """Return True if this entry's registration was read back."""
-        return PREFIX + self._name in self._entries
+        return self._entries.get(PREFIX + self._name) == self._address
+
+    def list_others(self) -> set[str]:
+        """Return the addresses of the other entries that have one."""
+        return {
+            address
+            for address in tuple(self._entries.values())
+            if ':' in address and address != self._address
+        }
 
     def register(self, topic: Topic, feed: Feed) -> None:
         """Register this entry, unless that was read back before."""
         for _ in range(MAX_TRIES):
             if self._is_leaving or self.is_registered():
                 return
-            self._append(topic, feed, b'1')
+            self._append(topic, feed, self._address.encode())
             time.sleep(PAUSE_SECONDS)
 
     def leave(self, topic: Topic, feed: Feed) -> None:
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -197,6 +197,8 @@
     def _release(self, attempt: Attempt) -> None:
         """Keep an attempt's connection if it may be used again."""
         self._reply.watch(None)
+        if self._status:
+            self._observer.note_end(self._call, attempt)
         self._parts.connections.keep(
             attempt.choice.endpoint.record, attempt.exchange
         )
@@ -233,6 +235,7 @@
         logger.debug(
             'request sent',
             call=self._call.identifier,
+            session=self._call.session,
             endpoint=record.identifier,
             version=record.version,
             model=model,
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -1,6 +1,5 @@
 """Which version of a service a request goes to while one is rolled out."""
 
-import hashlib
 import threading
 import time
 from collections import OrderedDict
@@ -14,6 +13,7 @@
 from ..membership.clock import read_clock
 from ..membership.feeds import Feed, Listener
 from ..membership.topics import Topic
+from .digests import hash_text
 from .evidence import Evidence, Work
 from .moves import Move, MoveBook, encode_move
 from .objects import RolloutOrder
@@ -39,6 +39,8 @@
 #: Sessions remembered.
 MAX_SESSIONS: Final = 5000
 SHARE_STEPS: Final = 10_000
+#: Stands for the version that is being replaced.
+OLD: Final = ''
 
 
 class State(StrEnum):
@@ -50,9 +52,10 @@
 
 
 class _Pin(NamedTuple):
+    #: OLD if another entry told of it.
     version: str
-    #: read_clock() of the session's last request.
-    moment: float
+    #: read_clock() at which the session ends without another request.
+    until: float
 
 
 class Rollouts(Listener):
@@ -73,7 +76,8 @@
         self._lock = threading.Lock()
         self._statuses: dict[str, RolloutStatus] = {}
         self._evidence: dict[str, Evidence] = {}
-        self._sessions: OrderedDict[tuple[str, str], _Pin] = OrderedDict()
+        #: Digest of service and session -> its version.
+        self._sessions: OrderedDict[int, _Pin] = OrderedDict()
 
     def apply(self, key: str, content: bytes | None) -> None:
         """Take the newest status of a roll-out."""
@@ -161,15 +165,62 @@
         if not old:
             return target
         version = self._choose_running(timed, session or seed, old)
-        return self._keep_session(timed, session, version, present)
+        return self._keep_session(timed, session, version, old)
 
-    def note_session(self, service: str, session: str, version: str) -> None:
-        """Remember the version that answers a session."""
+    def hold_session(
+        self,
+        service: str,
+        session: str,
+        version: str,
+        seconds: float,
+    ) -> None:
+        """Remember the version that answers a session.
+
+        Its answer ends after some seconds at the latest, and the session
+        goes on for its own time after that.
+        """
         if not session:
             return
+        until = read_clock() + seconds + self._session_seconds
+        self._pin(_make_digest(service, session), _Pin(version, until))
+
+    def hold_old_session(self, digest: int, seconds: float) -> None:
+        """Leave a session on the old version, as another entry tells.
+
+        It has seconds left unless another request comes.
+        """
+        pin = self._sessions.get(digest)
+        if pin is None or pin.version == OLD or pin.until < read_clock():
+            self._pin(digest, _Pin(OLD, read_clock() + seconds))
+
+    def list_old_sessions(self) -> dict[int, float]:
+        """Return the sessions that other entries' trials must leave.
+
+        The digest of each is mapped to the read_clock() of its end.
+        """
+        now = read_clock()
+        targets = {
+            timed.order.target
+            for timed in self._operators.orders()
+            if self.find_progress(timed) < MOVE_FROM
+        }
+        if not targets:
+            return {}
         with self._lock:
-            self._sessions[(service, session)] = _Pin(version, read_clock())
-            self._sessions.move_to_end((service, session))
+            pins = tuple(self._sessions.items())
+        return {
+            digest: pin.until
+            for digest, pin in pins
+            if pin.until > now
+            and pin.version != OLD
+            and pin.version not in targets
+            and _find_place(digest) < TRIAL_SHARE
+        }
+
+    def _pin(self, digest: int, pin: _Pin) -> None:
+        with self._lock:
+            self._sessions[digest] = pin
+            self._sessions.move_to_end(digest)
             while len(self._sessions) > MAX_SESSIONS:
                 self._sessions.popitem(last=False)
 
@@ -181,31 +232,28 @@
         share = TRIAL_SHARE
         if self.is_good(order):
             share = _find_share(self.find_progress(timed))
-        drawn = hashlib.blake2b(
-            f'{order.service}\0{order.target}\0{seed}'.encode(), digest_size=4
-        )
-        place = int.from_bytes(drawn.digest(), 'big') % SHARE_STEPS
-        return order.target if place < share * SHARE_STEPS else old
+        place = _find_place(_make_digest(order.service, seed))
+        return order.target if place < share else old
 
     def _keep_session(
         self,
         timed: TimedOrder,
         session: str,
         version: str,
-        present: set[str],
+        old: str,
     ) -> str:
         order = timed.order
-        pin = self._sessions.get((order.service, session))
-        if pin is None or pin.version not in present:
+        pin = self._sessions.get(_make_digest(order.service, session))
+        if not session or pin is None:
             return version
-        if read_clock() - pin.moment > self._session_seconds:
+        if read_clock() > pin.until:
             return version
         if self.evidence(order.service).is_bad(order.target):
             return version
-        if pin.version == order.target or (
-            self.find_progress(timed) < MOVE_FROM
-        ):
-            return pin.version
+        if pin.version == order.target:
+            return order.target
+        if self.find_progress(timed) < MOVE_FROM:
+            return old
         return version
 
 
@@ -299,3 +347,13 @@
     """Return a good version's share of new sessions."""
     moved = (progress - MOVE_FROM) / (MOVE_TO - MOVE_FROM)
     return max(TRIAL_SHARE, min(1.0, moved))
+
+
+def _make_digest(service: str, session: str) -> int:
+    """Return what stands for a session at all entries."""
+    return hash_text(f'{service}\0{session}')
+
+
+def _find_place(digest: int) -> float:
+    """Return a session's place in the order of moving, in [0, 1)."""
+    return (digest % SHARE_STEPS) / SHARE_STEPS
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -7,6 +7,7 @@
 from ..membership.directory import rank
 from ..routing.endpoints import MAX_FAILING, Outliers
 from .endpoints import Endpoint
+from .loads import LoadBook
 from .objects import Call
 from .pace import ReadingPace
 
@@ -61,6 +62,7 @@
         outliers: Outliers,
         pace: ReadingPace,
         find_cold_rate: Callable[[str], float],
+        loads: LoadBook,
     ) -> None:
         """Keep the entry's zone.
 
@@ -71,6 +73,7 @@
         self._outliers = outliers
         self._pace = pace
         self._find_cold_rate = find_cold_rate
+        self._loads = loads
 
     def choose(
         self,
@@ -117,7 +120,9 @@
             fresh = min(fresh, int(call.prompt_tokens - HOME_SHARE * shared))
         fresh = max(0, fresh)
         reading = self._pace.predict(wanted.model, fresh)
-        wait = endpoint.backlog.find_wait(wanted.rank, self._pace.usual())
+        wait = endpoint.backlog.find_wait(
+            wanted.rank, self._pace.usual(), self._loads.find(identifier)
+        )
         score = (BASE_SECONDS + reading + wait) * endpoint.pace
         if endpoint.record.zone != self._zone:
             score += _weigh_hop(call)
--- a/src/toucancourse/platform/settings.py
+++ b/src/toucancourse/platform/settings.py
@@ -30,6 +30,8 @@
     descriptors: int
     #: "host:port" of the store.
     store: str
+    #: "host:port" for other entries, or '' if there is no port for it.
+    peers: str
     grace: float
     #: Time after which a withdrawn key must be refused everywhere.
     revocation: float
@@ -78,6 +80,7 @@
             memory_mb=int(self._number('limits', 'memoryMb')),
             descriptors=int(self._number('limits', 'fileDescriptors')),
             store=self._address('platform', 'address'),
+            peers=self._find_peers(),
             grace=self._number('bounds', 'gracePeriodS'),
             revocation=self._number('bounds', 'revocationMs', REVOCATION_MS)
             / MS,
@@ -89,6 +92,15 @@
             cold_excess=self._number('bounds', 'coldTolerance', 0),
         )
 
+    def _find_peers(self) -> str:
+        """Return the address on the first port for calls between daemons."""
+        found = self._find('internalPortRange')
+        if not isinstance(found, list) or not found:
+            return ''
+        if isinstance(found[0], bool) or not isinstance(found[0], int):
+            raise self._error(('internalPortRange',), found, 'two ports')
+        return f'{self._text("ipAddress")}:{found[0]}'
+
     def _find(self, *names: str) -> Any:
         found: Any = self._row
         for name in names:
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -14,6 +14,7 @@
 from toucancourse.forwarding.admission import Admission
 from toucancourse.forwarding.connections import Connections
 from toucancourse.forwarding.endpoints import Endpoint, EndpointBook
+from toucancourse.forwarding.loads import LoadBook
 from toucancourse.forwarding.messages import RawRequest
 from toucancourse.forwarding.metrics import ForwardingMetrics
 from toucancourse.forwarding.moves import MoveBook
@@ -96,12 +97,15 @@
         self.dropped: list[Endpoint] = []
         self.endpoints = EndpointBook(decoder, self.dropped.append)
         self.rollouts = Rollouts(decoder, self.operators, 5, MoveBook())
+        self.loads = LoadBook(lambda: 1)
         self.outliers = Outliers()
         self.connections = Connections(codec)
         self.budget = WindowBudget(0.5, 20, 10)
         self.metrics = ForwardingMetrics(CollectorRegistry())
         pace = ReadingPace()
-        chooser = Chooser('zone-a', self.outliers, pace, lambda _: 2.0)
+        chooser = Chooser(
+            'zone-a', self.outliers, pace, lambda _: 2.0, self.loads
+        )
         self.relay = Relay(
             RelayParts(
                 codec=codec,
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -207,23 +207,63 @@
     ) -> None:
         entry = Entry(SharedTopic())
         for row in range(200):
-            entry.rollouts.note_session('desk', f's{row}', 'v1')
+            entry.rollouts.hold_session('desk', f's{row}', 'v1', 0)
         clock.now += 2
         assert entry.share(200) == 0
 
     def test_session_on_the_new_version_stays_there(self, clock: Clock) -> None:
         entry = Entry(SharedTopic())
         for row in range(200):
-            entry.rollouts.note_session('desk', f's{row}', 'v2')
+            entry.rollouts.hold_session('desk', f's{row}', 'v2', 0)
         clock.now += 2
         assert entry.share(200) == 1.0
 
+    def test_session_lasts_from_the_end_of_its_answer(
+        self, clock: Clock
+    ) -> None:
+        entry = Entry(SharedTopic())
+        for row in range(200):
+            entry.rollouts.hold_session('desk', f's{row}', 'v1', 9)
+        clock.now += 8
+        assert entry.share(200) == 0
+        for row in range(200):
+            entry.rollouts.hold_session('desk', f's{row}', 'v1', 0)
+        clock.now += 4
+        assert entry.share(200) == 0
+        clock.now += 2
+        assert entry.share(200) > 0
+
+    def test_session_that_comes_to_another_entry_stays_too(
+        self, clock: Clock
+    ) -> None:
+        topic = SharedTopic()
+        first, second = Entry(topic), Entry(topic)
+        for row in range(200):
+            first.rollouts.hold_session('desk', f's{row}', 'v1', 0)
+        assert second.share(200) > 0
+        told = first.rollouts.list_old_sessions()
+        assert 0 < len(told) < 40
+        for digest, until in told.items():
+            second.rollouts.hold_old_session(digest, until - clock.now)
+        assert second.share(200) == 0
+        clock.now += 6
+        assert second.share(200) > 0
+
+    def test_what_was_told_undoes_no_session_here(self, clock: Clock) -> None:
+        first, second = Entry(SharedTopic()), Entry(SharedTopic())
+        for row in range(200):
+            first.rollouts.hold_session('desk', f's{row}', 'v1', 0)
+            second.rollouts.hold_session('desk', f's{row}', 'v2', 0)
+        for digest in first.rollouts.list_old_sessions():
+            second.rollouts.hold_old_session(digest, 5)
+        assert second.share(200) == 1.0
+
     def test_session_leaves_a_version_that_is_turned_back(
         self, clock: Clock
     ) -> None:
         topic = SharedTopic()
         entry = Entry(topic)
-        entry.rollouts.note_session('desk', 's', 'v2')
+        entry.rollouts.hold_session('desk', 's', 'v2', 0)
         entry.rollouts.apply(
             'rollout/desk', b'{"state": "rolled_back", "target": "v2"}'
         )
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -6,6 +6,7 @@
 import pytest
 
 from toucancourse.forwarding.endpoints import Endpoint
+from toucancourse.forwarding.loads import LoadBook
 from toucancourse.forwarding.models import (
     MIN_CONFIDENCE,
     MIN_LATE_CONFIDENCE,
@@ -48,7 +49,13 @@
 
 def make_chooser(zone: str = 'zone-a') -> Chooser:
     """Return a chooser of one entry."""
-    return Chooser(zone, Outliers(), ReadingPace(), lambda _: COLD_RATE)
+    return Chooser(
+        zone,
+        Outliers(),
+        ReadingPace(),
+        lambda _: COLD_RATE,
+        LoadBook(lambda: 1),
+    )
 
 
 WANTED = Wanted('desk', '', 'm', ())
@@ -255,7 +262,7 @@
             visit.begin()
         for visit in visits:
             visit.end()
-        assert endpoint.backlog.find_wait(9, 0.1) == pytest.approx(0)
+        assert endpoint.backlog.find_wait(9, 0.1, None) == pytest.approx(0)
         assert endpoint.backlog.running == 0
 
     def test_own_requests_are_no_others(self) -> None:
