Wait as long as was predicted; share a cold endpoint's rate in any fleet

Cause, patience: an endpoint counted as silent after four times the usual time of all endpoints, also where a long queue was known, so waiting work was sent twice. Cause, cold rate: an entry's share was one request a second at least, so fleets of more than 26 entries pass the bound together. Change: the longer of both times counts; where a share is less than one, entries by rendezvous order of the endpoint have one and the others none.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -1,6 +1,7 @@
 """The entry on the users' platform: wires the parts and runs them."""
 
 import importlib
+import math
 import threading
 import time
 from collections import defaultdict
@@ -240,15 +241,15 @@
         table = self._operators.table
         return {'revision': table.revision if table else None}
 
-    def _find_cold_rate(self, service: str) -> float:
-        """Return this entry's requests a second for one cold endpoint."""
+    def _find_cold_rate(self, service: str, identifier: str) -> float:
+        """Return this entry's requests a second for a cold endpoint."""
         table = self._operators.table
         found = table.services.get(service) if table else None
         if found is None or not found.cold_rate:
-            return 0
+            return math.inf
         settings = self._settings
         rate = found.cold_rate * settings.cold_factor + settings.cold_excess
-        return max(1, COLD_SHARE * rate / self._entries.count())
+        return self._entries.divide(COLD_SHARE * rate, identifier)
 
     def _make_budget(self) -> WindowBudget:
         settings = self._settings
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -109,10 +109,10 @@
     def reserve(self, rate: float) -> bool:
         """Count a request that will be sent, unless that passes the rate.
 
-        The rate holds for a second while the endpoint is cold; 0 is no limit.
+        The rate holds for a second while the endpoint is cold.
         """
         now = time.monotonic()
-        is_limited = bool(rate) and self.is_cold()
+        is_limited = self.is_cold()
         with self.lock:
             while self._sent and now - self._sent[0] > RATE_WINDOW_SECONDS:
                 self._sent.popleft()
--- a/src/toucancourse/forwarding/peers.py
+++ b/src/toucancourse/forwarding/peers.py
@@ -6,6 +6,7 @@
 from loguru import logger
 
 from ..errors import LogDownError
+from ..membership.directory import rank
 from ..membership.feeds import Feed, Listener
 from ..membership.topics import Topic
 
@@ -45,6 +46,17 @@
         """Return the registered entries, at least one."""
         return max(1, len(self._entries))
 
+    def divide(self, limit: float, key: str) -> float:
+        """Return this entry's share of a limit that all entries keep.
+
+        Where it is less than one for each entry, some entries have one and
+        the others none; which ones they are differs by key.
+        """
+        if limit >= self.count():
+            return limit / self.count()
+        first = rank(key, tuple(self._entries))[: int(limit)]
+        return float(PREFIX + self._name in first)
+
     def is_registered(self) -> bool:
         """Return True if this entry's registration was read back."""
         return self._entries.get(PREFIX + self._name) == self._address
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -28,8 +28,8 @@
 #: Least part of the objective that an endpoint has to begin its answer, if
 #: another one may be asked.
 FIRST_PART: Final = 0.5
-#: Usual times after which an endpoint counts as silent. The usual time grows
-#: with the load, so that waiting work isn't sent twice when all are busy.
+#: Expected times after which an endpoint counts as silent. They grow with
+#: the load, so that waiting work isn't sent twice when all are busy.
 SILENT_RATIO: Final = 4.0
 #: Silence within a stream after which another endpoint goes on, in seconds;
 #: callers leave after eight of the longest pauses.
@@ -266,7 +266,9 @@
             usual = self._parts.metrics.find_usual(
                 (attempt.route.name, attempt.model)
             )
-            until = min(until, find_patience(attempt.route, usual))
+            predicted = attempt.choice.scored.score
+            patience = find_patience(attempt.route, usual, predicted)
+            until = min(until, time.monotonic() + patience)
         try:
             exchange.send(attempt.order, until)
         except NotSentError:
@@ -462,10 +464,11 @@
         )
 
 
-def find_patience(route: Route, usual: float) -> float:
-    """Return until when an endpoint may take to begin its answer.
+def find_patience(route: Route, usual: float, predicted: float) -> float:
+    """Return the seconds that an endpoint may take to begin its answer.
 
-    usual is the time that it usually takes, in seconds.
+    Answers usually take usual seconds, and this one was predicted to take
+    predicted seconds where it goes.
     """
-    patience = max(FIRST_PART * route.objective, SILENT_RATIO * usual)
-    return time.monotonic() + patience
+    expected = max(usual, predicted)
+    return max(FIRST_PART * route.objective, SILENT_RATIO * expected)
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -61,7 +61,7 @@
         zone: str,
         outliers: Outliers,
         pace: ReadingPace,
-        find_cold_rate: Callable[[str], float],
+        find_cold_rate: Callable[[str, str], float],
         loads: LoadBook,
     ) -> None:
         """Keep the entry's zone.
@@ -95,9 +95,11 @@
             return None
         home = _find_home(call, usable)
         scored = [self._score(call, row, wanted, home) for row in usable]
-        rate = self._find_cold_rate(wanted.service)
         for row in sorted(scored, key=lambda each: each.score):
-            if row.endpoint.reserve(rate):
+            identifier = row.endpoint.record.identifier
+            if row.endpoint.reserve(
+                self._find_cold_rate(wanted.service, identifier)
+            ):
                 return row
         return None
 
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -104,7 +104,7 @@
         self.metrics = ForwardingMetrics(CollectorRegistry())
         pace = ReadingPace()
         chooser = Chooser(
-            'zone-a', self.outliers, pace, lambda _: 2.0, self.loads
+            'zone-a', self.outliers, pace, lambda *_: 2.0, self.loads
         )
         self.relay = Relay(
             RelayParts(
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -98,7 +98,7 @@
         for name in ('b', 'c'):
             book.take(name, name, {HERE: BUSY})
         chooser = Chooser(
-            'zone-a', Outliers(), ReadingPace(), lambda _: 0, book
+            'zone-a', Outliers(), ReadingPace(), lambda *_: 0, book
         )
         for _ in range(10):
             scored = chooser.choose(
@@ -113,7 +113,7 @@
         books = [make_book() for _ in range(ENTRIES)]
         fleets = [[make_endpoint(name) for name in names] for _ in books]
         choosers = [
-            Chooser('zone-a', Outliers(), ReadingPace(), lambda _: 0, book)
+            Chooser('zone-a', Outliers(), ReadingPace(), lambda *_: 0, book)
             for book in books
         ]
         for _ in range(30):
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -12,8 +12,16 @@
     MIN_LATE_CONFIDENCE,
     find_wanted,
 )
-from toucancourse.forwarding.objects import Call, EndpointRecord, Load
+from toucancourse.forwarding.objects import (
+    Call,
+    EndpointRecord,
+    Kind,
+    Load,
+    Route,
+)
 from toucancourse.forwarding.pace import ReadingPace
+from toucancourse.forwarding.peers import EntryBook
+from toucancourse.forwarding.relay import find_patience
 from toucancourse.forwarding.selection import Chooser, Wanted
 from toucancourse.platform.messages import PlatformCodec
 from toucancourse.routing.endpoints import Outliers
@@ -53,11 +61,29 @@
         zone,
         Outliers(),
         ReadingPace(),
-        lambda _: COLD_RATE,
+        lambda *_: COLD_RATE,
         LoadBook(lambda: 1),
     )
 
 
+def make_route(objective: float) -> Route:
+    """Return a route of resumable streams."""
+    return Route(
+        name='r',
+        host='h',
+        prefix='/',
+        kind=Kind.stream,
+        shares=(),
+        timeout=10,
+        objective=objective,
+        priority=0,
+        max_runs=3,
+        anonymous=False,
+        resumable=True,
+        models=(),
+    )
+
+
 WANTED = Wanted('desk', '', 'm', ())
 
 
@@ -158,6 +184,18 @@
         ]
         assert sum(row is not None for row in chosen) <= COLD_RATE
 
+    @pytest.mark.parametrize('count', [1, 4, 8, 30, 300])
+    def test_shares_of_any_number_of_entries_stay_under_it(
+        self, count: int
+    ) -> None:
+        books = [EntryBook(f'e-{row}', f'h:{row}') for row in range(count)]
+        for book in books:
+            for row in range(count):
+                book.apply(f'entry/e-{row}', b'h:%d' % row)
+        for key in ('i-1', 'i-2', 'i-3'):
+            shares = [int(book.divide(25.6, key)) for book in books]
+            assert 0.5 * 25.6 <= sum(shares) <= 25.6
+
     def test_unreachable_endpoint_is_cold_until_it_tells(self) -> None:
         endpoint = make_endpoint('i-1')
         endpoint.note_unreachable()
@@ -187,6 +225,18 @@
         assert replay(chooser, endpoints[:1], [make_call()])['i-0'] == 1
 
 
+class TestBusyEverywhere:
+    """Pattern: all endpoints have long queues, and none is sick."""
+
+    def test_waiting_work_is_not_sent_twice(self) -> None:
+        route = make_route(objective=2.0)
+        assert find_patience(route, 0.3, 1.5) >= 3 * 1.5
+
+    def test_silence_of_an_idle_endpoint_is_noticed(self) -> None:
+        route = make_route(objective=2.0)
+        assert find_patience(route, 0.1, 0.1) <= route.objective / 2
+
+
 class TestSwing:
     """Pattern: load shifts to long prompts and the largest model is slow."""
 
