Give entries of tests, demo and soak a port for each other

Cause: their settings file named no port for calls between daemons, so no test of whole processes told load or sessions. Change: the file names one; its decoding and its errors have tests.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -195,6 +195,7 @@
             host,
             port,
             find_port(),
+            find_port(),
             f'127.0.0.1:{store}',
             GRACE_SECONDS,
         )
--- a/standins/boot.py
+++ b/standins/boot.py
@@ -9,6 +9,7 @@
 nodeName = "{name}"
 zone = "zone-a"
 ipAddress = "{host}"
+internalPortRange = [{peers}, {peers}]
 [listenAddresses]
 frontend = "{host}:{port}"
 ready = "{host}:{ready}"
@@ -30,6 +31,8 @@
     host: str
     port: int
     ready: int
+    #: Port for the other entries.
+    peers: int
     #: "host:port" of the store.
     store: str
     grace: int
--- a/standins/platformdemo.py
+++ b/standins/platformdemo.py
@@ -36,7 +36,13 @@
         self._ready = find_port()
         path = folder / 'boot.toml'
         boot = Boot(
-            'entry', ADDRESS, self._callers, self._ready, self.store.address, 6
+            'entry',
+            ADDRESS,
+            self._callers,
+            self._ready,
+            find_port(),
+            self.store.address,
+            6,
         )
         write_boot_file(path, boot)
         command = [sys.executable, '-m', 'toucancourse.daemon', str(path)]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -46,6 +46,7 @@
             self.host,
             self.port,
             self.ready_port,
+            find_port(),
             self.store.address,
             grace=6,
         )
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -41,6 +41,7 @@
 nodeName = "frontend-1"
 zone = "zone-a"
 ipAddress = "127.0.0.1"
+internalPortRange = [7340, 7355]
 unheardOf = 1
 [listenAddresses]
 frontend = "127.0.0.1:8227"
@@ -178,6 +179,12 @@
         settings = read_node_settings(str(path))
         assert settings.revocation == 5.0
         assert settings.store == '127.0.0.1:8223'
+        assert settings.peers == '127.0.0.1:7340'
+
+    def test_without_ports_nobody_is_told(self, tmp_path: Path) -> None:
+        path = tmp_path / 'boot.toml'
+        path.write_text(SETTINGS.replace('[7340, 7355]', '[]'))
+        assert read_node_settings(str(path)).peers == ''
 
     @pytest.mark.parametrize(
         ('old', 'new', 'key'),
@@ -187,6 +194,7 @@
             ('memoryMb = 300', 'memoryMb = "big"', 'limits.memoryMb'),
             ('gracePeriodS = 8', 'gracePeriodS = -1', 'bounds.gracePeriodS'),
             ('zone = "zone-a"', '', 'zone'),
+            ('[7340, 7355]', '["a", "b"]', 'internalPortRange'),
         ],
     )
     def test_bad_value_is_named(
--- a/tests/test_wire_names.py
+++ b/tests/test_wire_names.py
@@ -31,6 +31,7 @@
     'targetLatencyMs',
     'inferenceEngine',
     'nodeName',
+    'internalPortRange',
     'listenAddresses',
     'tenant',
     'durationS',
