Let requests wait for the first reads of a new process

A roll- out's state could be unknown while its order was known already. Ruled out: slow starts of the process; it listens 0.1 s after its start. Change: requests wait for the first read of each topic, up to two seconds after the start of the process; gRPC is loaded after that; an entry is not ready before the roll-outs' states are read.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -27,6 +27,7 @@
 from ..forwarding.tables import OperatorBook
 from ..ingress.server import IngressBounds, IngressServer
 from ..membership.feeds import Feed, Pace
+from ..membership.startup import Startup
 from ..platform import names
 from ..platform.messages import PlatformCodec
 from ..platform.records import PlatformDecoder
@@ -90,6 +91,13 @@
         self._loads = LoadBook(self._entries.count)
         self._metrics = ForwardingMetrics()
         self._build_feeds()
+        self._startup = Startup(
+            (
+                self._operator_feed.settled,
+                self._endpoint_feed.settled,
+                self._status_feed.settled,
+            )
+        )
         self._judge = RolloutJudge(
             self._rollouts,
             self._operators,
@@ -121,6 +129,7 @@
                 outliers=outliers,
                 metrics=self._metrics,
                 pace=pace,
+                startup=self._startup,
                 find_budget=self._budgets.__getitem__,
                 count_entries=self._entries.count,
                 find_age=self._operator_feed.age,
@@ -231,8 +240,8 @@
             return 'leaving'
         if self._operators.table is None:
             return 'no configuration is known'
-        if not self._endpoints.is_settled:
-            return 'no endpoints are known'
+        if not self._startup.is_over():
+            return 'endpoints or roll-outs are not known'
         if self._operator_feed.age() > PROOF_SHARE * self._settings.revocation:
             return 'the configuration may be out of date'
         return ''
@@ -271,6 +280,7 @@
     def _tell(self) -> None:
         """Exchange the work at endpoints with the other entries."""
         # gRPC takes longer to load than all else; callers are served before.
+        self._startup.wait(math.inf)
         telling = importlib.import_module('..forwarding.telling', __package__)
         links = telling.LoadLinks(
             self._settings.instance,
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -142,6 +142,7 @@
         )
 
     def _admit(self) -> Admitted:
+        self._parts.startup.wait(self._call.deadline - MIN_LEFT_SECONDS)
         admitted = self._parts.admission.admit(
             self._call, self._parts.revocation_seconds, self._parts.find_age
         )
--- a/src/toucancourse/membership/feeds.py
+++ b/src/toucancourse/membership/feeds.py
@@ -21,8 +21,6 @@
 class Listener(ABC):
     """Told of each key's newest record, by one thread."""
 
-    #: True once all records up to the end were applied.
-    is_settled = False
     #: How often the store came back after a failure.
     returns = 0
 
@@ -34,9 +32,8 @@
         """Take note that the store is back; its records follow."""
         self.returns += 1
 
-    def settle(self) -> None:
+    def settle(self) -> None:  # noqa: B027  # few listeners need it
         """Take note that all records up to the end were applied."""
-        self.is_settled = True
 
 
 class Pace(NamedTuple):
@@ -70,6 +67,8 @@
         self._next: int | None = None
         self._stop = threading.Event()
         self._is_down = False
+        #: Set once all records up to the end were applied.
+        self.settled = threading.Event()
         #: read_clock() up to which everything written is known here.
         self.proof = float('-inf')
 
@@ -124,6 +123,7 @@
         self._next = reached
         if reached >= page.end:
             self._listener.settle()
+            self.settled.set()
             self.proof = max(self.proof, began)
 
     def _note_up(self) -> None:
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -1,5 +1,6 @@
 """A relay in this process, with endpoints over loopback, for tests."""
 
+import threading
 import time
 import uuid
 from collections.abc import Callable
@@ -26,6 +27,7 @@
 from toucancourse.forwarding.rollouts import Rollouts
 from toucancourse.forwarding.selection import Chooser
 from toucancourse.forwarding.tables import OperatorBook
+from toucancourse.membership.startup import Startup
 from toucancourse.platform.messages import PlatformCodec
 from toucancourse.platform.records import PlatformDecoder
 from toucancourse.routing.endpoints import Outliers
@@ -97,6 +99,8 @@
         self.dropped: list[Endpoint] = []
         self.endpoints = EndpointBook(decoder, self.dropped.append)
         self.rollouts = Rollouts(decoder, self.operators, 5, MoveBook())
+        #: Reads of the store that a request may have to wait for.
+        self.reads: list[threading.Event] = []
         self.loads = LoadBook(lambda: 1)
         self.outliers = Outliers()
         self.connections = Connections(codec)
@@ -117,6 +121,7 @@
                 outliers=self.outliers,
                 metrics=self.metrics,
                 pace=pace,
+                startup=Startup(self.reads),
                 find_budget=lambda _: self.budget,
                 count_entries=lambda: 1,
                 find_age=lambda: self.age,
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -9,6 +9,7 @@
 from standins.tables import make_table
 from toucancourse.admission.limits import WindowBudget
 from toucancourse.errors import Outcome
+from toucancourse.membership.startup import START_SECONDS
 
 from .forwarding import Caller, Desk
 
@@ -318,3 +319,34 @@
         threading.Timer(0.05, lambda: setattr(desk, 'age', 9.0)).start()
         desk.send('/auto/x', caller=caller)
         assert caller.is_finished
+
+
+class TestStart:
+    """Pattern: all entries start again at once, under full traffic."""
+
+    def test_request_waits_for_the_first_read(self, desk: Desk) -> None:
+        read = threading.Event()
+        desk.reads.append(read)
+        threading.Timer(0.3, read.set).start()
+        caller = desk.send('/look/x')
+        assert caller.status == 200
+
+    def test_store_that_stays_away_holds_nobody_for_long(
+        self, desk: Desk, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        desk.reads.append(threading.Event())
+        now = time.monotonic()
+        monkeypatch.setattr(
+            time, 'monotonic', lambda: now + START_SECONDS + 0.1
+        )
+        began = time.perf_counter()
+        desk.send('/look/x')
+        assert time.perf_counter() - began < 0.5
+
+    def test_deadline_ends_the_wait(self, desk: Desk) -> None:
+        desk.reads.append(threading.Event())
+        began = time.perf_counter()
+        caller = desk.send('/look/x', X_Deadline_Ms='200')
+        assert time.perf_counter() - began < 0.5
+        assert caller.error is not None
+        assert desk.runs() == []
