Keep a version on trial that seems worse

Cause: one entry that finds a version good now moves all entries, and eight answers with three bad ones counted as good, since they are not bad beyond doubt. Ruled out: waiting for evidence of each entry, which a late one has not.

--- a/src/toucancourse/forwarding/evidence.py
+++ b/src/toucancourse/forwarding/evidence.py
@@ -34,8 +34,12 @@
 class Count(NamedTuple):
     """Answers of one version."""
 
-    answers: int = 0
-    bad: int = 0
+    answers: float = 0
+    bad: float = 0
+
+    def find_share(self) -> float:
+        """Return the share of bad answers, of at least one answer."""
+        return self.bad / self.answers
 
 
 class Evidence:
@@ -83,25 +87,38 @@
         new = self.count(version)
         if new.bad < MIN_BAD:
             return False
-        with self._lock:
-            others = [
-                count for name, count in self._counts.items() if name != version
-            ]
-        answers = PRIOR_ANSWERS + sum(row.answers for row in others)
-        bad = PRIOR_ANSWERS * PRIOR_SHARE + sum(row.bad for row in others)
-        difference = new.bad / new.answers - bad / answers
-        pooled = (new.bad + bad) / (new.answers + answers)
+        old = self._count_others(version)
+        difference = new.find_share() - old.find_share()
+        answers = new.answers + old.answers
+        pooled = (new.bad + old.bad) / answers
         error = math.sqrt(
-            pooled * (1 - pooled) * (1 / new.answers + 1 / answers)
+            pooled * (1 - pooled) * (1 / new.answers + 1 / old.answers)
         )
         return (
             difference >= MIN_DIFFERENCE and difference >= WANTED_ERRORS * error
         )
 
     def is_good(self, version: str) -> bool:
-        """Return True if a version was seen enough and is not bad."""
-        return self.count(version).answers >= MIN_ANSWERS and not (
-            self.is_bad(version)
+        """Return True if a version was seen enough and seems as good.
+
+        One that seems worse may still not be worse beyond doubt; it stays on
+        trial, since all entries move to a version that one finds good.
+        """
+        new = self.count(version)
+        if new.answers < MIN_ANSWERS or self.is_bad(version):
+            return False
+        old = self._count_others(version)
+        return new.find_share() - old.find_share() < MIN_DIFFERENCE
+
+    def _count_others(self, version: str) -> Count:
+        """Return the answers of all other versions, and those assumed."""
+        with self._lock:
+            others = [
+                count for name, count in self._counts.items() if name != version
+            ]
+        return Count(
+            PRIOR_ANSWERS + sum(row.answers for row in others),
+            PRIOR_ANSWERS * PRIOR_SHARE + sum(row.bad for row in others),
         )
 
     def _add(self, version: str, *, is_bad: bool) -> None:
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -182,6 +182,20 @@
                 entry.evidence.note_failure(version)
         assert not entry.evidence.is_bad('v2')
 
+    def test_version_that_seems_worse_stays_on_trial(
+        self, clock: Clock
+    ) -> None:
+        entry = Entry(SharedTopic())
+        entry.answer('v1', 60)
+        entry.answer('v2', 8)
+        for _ in range(3):
+            entry.evidence.note_failure('v2')
+        assert not entry.evidence.is_bad('v2')
+        clock.now += 20 * (MOVE_TO + 0.01)
+        assert abs(entry.share() - TRIAL_SHARE) < 0.03
+        entry.answer('v2', 30)
+        assert entry.share() == 1.0
+
     def test_slow_version_is_bad(self, clock: Clock) -> None:
         entry = Entry(SharedTopic())
         entry.answer('v1', 60)
