Send a request that a tried version failed to the old version

Ruled out: the retry budget and the attempts allowed; both had room. Change: versions that failed a request before a part of its answer was handed on are left for the old one while the move runs. The test fails without the change.

--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -1,6 +1,6 @@
 """Whether a request may be sent to an endpoint now, and to which."""
 
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final, NamedTuple
 
 from ..errors import (
@@ -125,10 +125,13 @@
         call: Call,
         admitted: Admitted,
         model: str,
-        tried: set[str],
+        tried: Collection[str],
+        failed: Collection[str],
     ) -> Choice:
         """Return where the call goes.
 
+        It was tried at some endpoints, and some versions failed it.
+
         Raises NoEndpointError.
         """
         service = _choose_service(admitted.route, call)
@@ -143,6 +146,7 @@
             {endpoint.record.version for endpoint in known},
             call.session,
             call.identifier,
+            failed,
         )
         if version:
             known = [row for row in known if row.record.version == version]
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -90,6 +90,8 @@
         self._admitted: Admitted | None = None
         self._models = Models(())
         self._tried: set[str] = set()
+        #: Versions that failed before a part of their answer was handed on.
+        self._failed: set[str] = set()
         #: Endpoint that was tried last.
         self._current = ''
         #: Attempts that ran or may have run.
@@ -171,7 +173,7 @@
             raise CallerGoneError('the caller closed its connection')
         model = self._stream_model or self._models.current
         choice = self._next or self._parts.admission.choose(
-            self._call, admitted, model, self._tried
+            self._call, admitted, model, self._tried, self._failed
         )
         self._next = None
         self._note_service(choice.service)
@@ -396,7 +398,7 @@
         larger = self._models.enlarge().current
         try:
             return self._parts.admission.choose(
-                self._call, self._admitted, larger, tried
+                self._call, self._admitted, larger, tried, self._failed
             )
         except NoEndpointError:
             return None
@@ -460,6 +462,8 @@
         return time.monotonic() + MIN_LEFT_SECONDS >= self._limit
 
     def _note_failure(self, attempt: Attempt, error: CourseError) -> None:
+        if error.outcome is not Outcome.not_run and not self._has_begun:
+            self._failed.add(attempt.choice.version)
         self._observer.note_failure(
             self._call, attempt, error, has_begun=self._has_begun
         )
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
 from enum import StrEnum
 from typing import Final, NamedTuple
 
@@ -145,10 +145,12 @@
         versions: Iterable[str],
         session: str,
         seed: str,
+        failed: Collection[str] = (),
     ) -> str:
         """Return the version for a request, or '' if any will do.
 
-        The seed decides for requests without a session.
+        The seed decides for requests without a session; versions that have
+        failed the request already are left for the old one.
         """
         timed = self._operators.order(service)
         present = set(versions)
@@ -164,6 +166,8 @@
             return old or '-'
         if not old:
             return target
+        if target in failed:
+            return old
         version = self._choose_running(timed, session or seed, old)
         return self._keep_session(timed, session, version, old)
 
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -350,3 +350,24 @@
         assert time.perf_counter() - began < 0.5
         assert caller.error is not None
         assert desk.runs() == []
+
+
+class TestTriedVersion:
+    """Pattern: a new version fails, and only few of its endpoints are up."""
+
+    @pytest.mark.parametrize('fault', ['error', 'close'])
+    def test_failure_goes_on_at_the_old_version(
+        self, desk: Desk, fault: str
+    ) -> None:
+        new = desk.replicas[1]
+        new.fault = fault
+        desk.endpoints.apply(new.identifier, new.record(version='v2'))
+        desk.operators.apply(
+            'rollout/desk',
+            b'{"service": "desk", "target": "v2", "durationS": 20}',
+        )
+        callers = [
+            desk.send('/draft/x', Session=f's{row}') for row in range(40)
+        ]
+        assert new.runs()
+        assert {caller.status for caller in callers} == {200}
