Wait a second after a write of a roll-out that the store refused

Ruled out: the feed's own state; its long poll was still waiting. Change: the judge pauses for a second after a failed write.

--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -36,6 +36,9 @@
 SLOW_RATIO: Final = 4.0
 #: The same once work moves there, where caches are cold and load is new.
 MOVED_SLOW_RATIO: Final = 12.0
+#: Pause after a write that the store refused or did not answer, in seconds:
+#: each call is paid for, and a bad version gets nothing here meanwhile.
+WRITE_PAUSE: Final = 1.0
 #: Sessions remembered.
 MAX_SESSIONS: Final = 5000
 SHARE_STEPS: Final = 10_000
@@ -280,9 +283,13 @@
         self._topic = topic
         self._decoder = decoder
         self._feed = feed
+        #: read_clock() until which nothing is written.
+        self._paused_until = 0.0
 
     def check(self) -> None:
         """Decide the running roll-outs once."""
+        if read_clock() < self._paused_until:
+            return
         for timed in self._operators.orders():
             order = timed.order
             if self._rollouts.find_state(order.service, order.target) in {
@@ -344,6 +351,7 @@
             return self._topic.append(key, content, end)
         except LogDownError as error:
             logger.warning('status not written', key=key, why=error.text)
+            self._paused_until = read_clock() + WRITE_PAUSE
             return False
 
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -56,6 +56,8 @@
         self.records: list[Record] = []
         self.is_down = False
         self.loses_answers = False
+        #: Calls to append, refused ones too.
+        self.appends = 0
 
     def fetch_newest(self) -> Records:
         """Return all records."""
@@ -69,6 +71,7 @@
 
     def append(self, key: str, content: bytes | None, at: int) -> bool:
         """Append if the topic ends there."""
+        self.appends += 1
         if self.is_down:
             raise LogDownError('down')
         if at != len(self.records):
@@ -298,6 +301,26 @@
         entry.step()
         assert entry.state() is State.done
 
+    def test_store_that_refuses_is_left_alone_for_a_while(
+        self, clock: Clock
+    ) -> None:
+        topic = SharedTopic()
+        entry = Entry(topic)
+        entry.step()
+        topic.appends = 0
+        topic.is_down = True
+        entry.answer('v1', 60)
+        for _ in range(12):
+            entry.evidence.note_failure('v2')
+        for _ in range(8):
+            entry.judge.check()
+            clock.now += 0.25
+        assert topic.appends == 2
+        topic.is_down = False
+        clock.now += 1
+        entry.step()
+        assert entry.state() is State.back
+
     def test_paused_entry_does_not_undo_a_decision(self, clock: Clock) -> None:
         topic = SharedTopic()
         first, paused = Entry(topic), Entry(topic)
