Log the prompt parts and the progress of failed attempts

Now it does, and a connection that the endpoint closed has a code of its own, endpoint_connection_lost, instead of endpoint_failed.

--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -15,6 +15,17 @@
 
 #: Time to read a response body that is not used.
 DISCARD_SECONDS: Final = 0.03
+#: Longest logged part of an identifier that callers chose.
+LOGGED_CHARACTERS: Final = 40
+
+
+class AttemptProgress:
+    """How much of an attempt's response was received."""
+
+    def __init__(self) -> None:
+        """Create it for an attempt without a response."""
+        #: Complete events of a stream.
+        self.events = 0
 
 
 class Attempt(NamedTuple):
@@ -28,6 +39,7 @@
     #: time.monotonic() of the attempt's start.
     started_at: float
     options: AttemptOptions
+    progress: AttemptProgress
 
     def discard_body(self) -> None:
         """Read an unused response body, so the connection can be reused."""
@@ -125,6 +137,9 @@
             code=error.code,
             why=error.text,
             seconds=round(seconds, 4),
+            parts=[part.identifier[:LOGGED_CHARACTERS] for part in call.prompt],
+            has_head=attempt.exchange.head is not None,
+            events=attempt.progress.events,
         )
         self._context.metrics.failures.labels(error.code).inc()
         if error.outcome is Outcome.not_run:
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -54,6 +54,12 @@
     code = 'endpoint_silent'
 
 
+class ConnectionLostError(EndpointError):
+    """The endpoint closed or reset the connection before its response ended."""
+
+    code = 'endpoint_connection_lost'
+
+
 class _IdleConnection(NamedTuple):
     connection: HTTPConnection
     #: time.monotonic() until which it may be reused.
@@ -228,7 +234,7 @@
         except TimeoutError as error:
             raise SilentError('timeout waiting for the response') from error
         except _TRANSPORT_ERRORS as error:
-            raise EndpointError(f'no response: {error!r}') from error
+            raise ConnectionLostError(f'no response: {error!r}') from error
         headers: Headers = tuple(response.getheaders())
         self.head = self._codec.decode_head(response.status, headers)
         if not self._is_own_response(self.head):
@@ -276,13 +282,13 @@
         except TimeoutError as error:
             raise SilentError('timeout within the response') from error
         except _TRANSPORT_ERRORS as error:
-            raise EndpointError(
+            raise ConnectionLostError(
                 f'the response was interrupted: {error!r}'
             ) from error
         if content:
             return content
         if response.length:
-            raise EndpointError('the response is shorter than its length')
+            raise ConnectionLostError('the response is shorter than its length')
         if self._cancelled:
             raise EndpointError('the request was cancelled')
         self.is_complete = True
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -22,7 +22,7 @@
     NoEndpointError,
     check_deadline,
 )
-from .attempts import Attempt, AttemptRecorder
+from .attempts import Attempt, AttemptProgress, AttemptRecorder
 from .connections import NotSentError, SilentError
 from .context import RelayContext
 from .events import EventSplitter
@@ -282,7 +282,15 @@
                 record.identifier, failed=True
             )
             raise
-        return Attempt(admitted.route, choice, exchange, model, now, options)
+        return Attempt(
+            admitted.route,
+            choice,
+            exchange,
+            model,
+            now,
+            options,
+            AttemptProgress(),
+        )
 
     def _send_attempt(self, attempt: Attempt) -> ResponseHead:
         """Send the request and return the head of the response.
@@ -384,7 +392,6 @@
         event_splitter = EventSplitter()
         exchange = attempt.exchange
         endpoint = attempt.choice.endpoint
-        count = 0
         patience = None
         if self._can_repeat():
             patience = find_event_patience(self._admitted.route)
@@ -403,7 +410,7 @@
                 if self._has_started:
                     endpoint.pace.observe(events.number, now - progressed_at)
                 progressed_at = now
-                count += events.number
+                attempt.progress.events += events.number
                 endpoint.record_progress()
                 self._write_events(attempt, head, events.content)
                 self._last_event = events.last_id or self._last_event
@@ -411,7 +418,9 @@
             raise EndpointError('the stream ended within an event')
         if not attempt.options.last_event:
             self._context.admission.lengths.observe(
-                attempt.route.name, self._call.expected_tokens, count
+                attempt.route.name,
+                self._call.expected_tokens,
+                attempt.progress.events,
             )
         self._response.finish()
         return True
