Refuse requests whose prompt parts crash endpoints

Cause: an entry judged endpoints only. A request on which an endpoint crashed went to the next one, and so did the next request with the same part, at any entry.

Change: a connection that ends between the head and the first event of a stream is told in the store's topic of statuses with the parts that others may share. The sets of parts that explain two crashes of different endpoints are refused with 503 and the time until the next trial; a response to any part clears it. Sets are as large as the crashes allow, so what shares only the caller and other parts is served. Blocks are records too, so they outlast restarts; what can't be written waits. After 20 s, then twice as long each time, the store grants one request of all entries a trial.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -20,6 +20,7 @@
 from ..forwarding.metrics import ForwardingMetrics
 from ..forwarding.peers import EntryRegistry, ListenerGroup
 from ..forwarding.prefill import PrefillEstimator
+from ..forwarding.quarantine import Quarantine
 from ..forwarding.relay import Relay
 from ..forwarding.rollouts import RolloutController, Rollouts
 from ..forwarding.selection import COLD_RATE_SHARE, EndpointSelector
@@ -125,6 +126,12 @@
         )
         self._loads = PeerLoads(self._entries.count)
         self._metrics = ForwardingMetrics()
+        self._status_topic = StoreTopic(settings.store, names.STATUS_TOPIC)
+        self._quarantine = Quarantine(
+            self._status_topic,
+            lambda: self._status_feed.find_next_offset(),
+            self._metrics,
+        )
         self._build_feeds()
         self._startup = StartupBarrier(
             (
@@ -164,6 +171,7 @@
                 outliers=outliers,
                 metrics=self._metrics,
                 prefill=prefill,
+                quarantine=self._quarantine,
                 startup=self._startup,
                 find_retry_budget=self._budgets.__getitem__,
                 find_fleet_share=self._entries.find_fleet_share,
@@ -183,6 +191,7 @@
             _start_thread(feed.run)
         _start_thread(self._register)
         _start_thread(self._run_maintenance)
+        _start_thread(lambda: self._quarantine.run(self._stopped))
         if self._settings.peers:
             _start_thread(self._exchange_loads)
         self._health_server.start()
@@ -238,7 +247,6 @@
 
     def _build_feeds(self) -> None:
         store = self._settings.store
-        self._status_topic = StoreTopic(store, names.STATUS_TOPIC)
         self._topics = {
             name: SharedTopic(StoreTopic(store, name), name) for name in TIMINGS
         }
@@ -257,7 +265,9 @@
         self._status_feed = Feed(
             'statuses',
             self._topics[names.STATUS_TOPIC],
-            ListenerGroup(self._rollouts, self._shifts, self._entries),
+            ListenerGroup(
+                self._rollouts, self._shifts, self._entries, self._quarantine
+            ),
             TIMINGS[names.STATUS_TOPIC],
         )
 
--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -8,7 +8,7 @@
 from ..errors import CourseError, Outcome
 from .admission import EndpointChoice
 from .canary import LatencyClass
-from .connections import Exchange, SilentError
+from .connections import ConnectionLostError, Exchange, SilentError
 from .context import RelayContext
 from .objects import AttemptOptions, Call, Route
 from .patience import Patience
@@ -41,6 +41,16 @@
     options: AttemptOptions
     progress: AttemptProgress
 
+    def has_only_begun(self) -> bool:
+        """Return True if a stream's head but no event was received."""
+        head = self.exchange.head
+        return (
+            head is not None
+            and head.is_event_stream
+            and not self.progress.events
+            and not self.exchange.is_cancelled()
+        )
+
     def discard_body(self) -> None:
         """Read an unused response body, so the connection can be reused."""
         try:
@@ -145,6 +155,8 @@
         if error.outcome is Outcome.not_run:
             return
         self._context.outliers.record_attempt(record.identifier, failed=True)
+        if isinstance(error, ConnectionLostError) and attempt.has_only_begun():
+            self._context.quarantine.record_crash(call, record)
         analysis = self._context.rollouts.get_analysis(choice.service)
         analysis.record_failure(choice.version)
         if not isinstance(error, SilentError):
--- a/src/toucancourse/forwarding/context.py
+++ b/src/toucancourse/forwarding/context.py
@@ -11,6 +11,7 @@
 from .messages import Codec
 from .metrics import ForwardingMetrics
 from .prefill import PrefillEstimator
+from .quarantine import Quarantine
 from .rollouts import Rollouts
 
 
@@ -24,6 +25,7 @@
     outliers: Outliers
     metrics: ForwardingMetrics
     prefill: PrefillEstimator
+    quarantine: Quarantine
     startup: StartupBarrier
     #: Service name -> its retry budget.
     find_retry_budget: Callable[[str], WindowBudget]
--- a/src/toucancourse/forwarding/metrics.py
+++ b/src/toucancourse/forwarding/metrics.py
@@ -59,6 +59,16 @@
             buckets=BUCKETS,
             registry=registry,
         )
+        self.crashes = Counter(
+            'toucancourse_endpoint_crashes',
+            'Endpoints lost as they began to answer a prompt',
+            registry=registry,
+        )
+        self.blocks = Gauge(
+            'toucancourse_blocked_prompt_parts',
+            'Sets of prompt parts that are refused since endpoints crash',
+            registry=registry,
+        )
         self.proof_age = Gauge(
             'toucancourse_store_proof_age_seconds',
             'Age of the proof that the configuration is current',
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -193,6 +193,7 @@
         admitted = self._refresh_route()
         if self._response.is_disconnected():
             raise CallerGoneError('the caller closed its connection')
+        self._context.quarantine.check(self._call)
         model = self._stream_model or self._models.current
         choice = self._next_choice or self._context.admission.choose(
             self._call, admitted, model, self._tried, self._failed
@@ -410,6 +411,8 @@
                 if self._has_started:
                     endpoint.pace.observe(events.number, now - progressed_at)
                 progressed_at = now
+                if not attempt.progress.events:
+                    self._context.quarantine.record_success(self._call)
                 attempt.progress.events += events.number
                 endpoint.record_progress()
                 self._write_events(attempt, head, events.content)
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -11,7 +11,7 @@
 from standins.operator_config import HOST, KEY, make_operator_config
 from standins.replica import Replica
 from toucancourse.admission.limits import WindowBudget
-from toucancourse.errors import CourseError
+from toucancourse.errors import CourseError, LogDownError
 from toucancourse.forwarding.admission import Admission
 from toucancourse.forwarding.connections import ConnectionPool
 from toucancourse.forwarding.context import RelayContext
@@ -21,6 +21,7 @@
 from toucancourse.forwarding.metrics import ForwardingMetrics
 from toucancourse.forwarding.objects import Headers
 from toucancourse.forwarding.prefill import PrefillEstimator
+from toucancourse.forwarding.quarantine import Quarantine
 from toucancourse.forwarding.relay import Relay
 from toucancourse.forwarding.responses import CallerGoneError, ResponseWriter
 from toucancourse.forwarding.rollouts import Rollouts
@@ -28,6 +29,7 @@
 from toucancourse.forwarding.shifts import ShiftRegistry
 from toucancourse.forwarding.tables import OperatorConfig
 from toucancourse.membership.startup import StartupBarrier
+from toucancourse.membership.topics import Record, Records, Topic
 from toucancourse.platform.messages import PlatformCodec
 from toucancourse.platform.records import PlatformDecoder
 from toucancourse.routing.endpoints import Outliers
@@ -89,6 +91,36 @@
             self.on_disconnect()
 
 
+class MemoryTopic(Topic):
+    """A keyed topic in memory."""
+
+    def __init__(self) -> None:
+        """Create an empty topic that is available."""
+        self.records: list[Record] = []
+        self.is_available = True
+
+    def fetch_newest(self) -> Records:
+        """Return the newest record of each key."""
+        newest = {record.key: record for record in self.records}
+        present = [each for each in newest.values() if each.content is not None]
+        return Records(tuple(present), len(self.records))
+
+    def read(self, start: int, wait_seconds: float) -> Records:
+        """Return the records from an offset on, without waiting."""
+        return Records(tuple(self.records[start:]), len(self.records))
+
+    def append(
+        self, key: str, content: bytes | None, at: int | None = None
+    ) -> bool:
+        """Append a record; with `at`, only if the topic ends there."""
+        if not self.is_available:
+            raise LogDownError('the topic is not available')
+        if at is not None and at != len(self.records):
+            return False
+        self.records.append(Record(key, content, len(self.records)))
+        return True
+
+
 class RelayHarness:
     """A relay in front of stand-in endpoints."""
 
@@ -109,6 +141,10 @@
         self.connections = ConnectionPool(codec)
         self.budget = WindowBudget(0.5, 20, 10)
         self.metrics = ForwardingMetrics(CollectorRegistry())
+        self.topic = MemoryTopic()
+        self.quarantine = Quarantine(
+            self.topic, lambda: len(self.topic.records), self.metrics
+        )
         prefill = PrefillEstimator()
         selector = EndpointSelector(
             'zone-a', self.outliers, prefill, lambda *_: 2.0, self.loads
@@ -124,6 +160,7 @@
                 outliers=self.outliers,
                 metrics=self.metrics,
                 prefill=prefill,
+                quarantine=self.quarantine,
                 startup=StartupBarrier(self.reads),
                 find_retry_budget=lambda _: self.budget,
                 find_fleet_share=lambda: 1.0,
