Send no request to an endpoint that announced its leaving

An endpoint that leaves now says so in all its responses. Entries only knew the store's record, which comes later, or not at all at an entry that is cut off, and went on sending (DRAIN). The announcement counts at once for the endpoint's incarnation, and an endpoint that registers again after an outage keeps it: the registry gives a known incarnation its former state.

--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -31,6 +31,8 @@
 INITIAL_BACKOFF_SECONDS: Final = 0.3
 MAX_BACKOFF_SECONDS: Final = 2.4
 RATE_WINDOW_SECONDS: Final = 1.0
+#: Removed endpoints that are remembered.
+MAX_REMOVED: Final = 200
 #: Longest time from the choice of an endpoint until the request is sent, while
 #: a connection is opened and other threads run.
 MAX_SEND_SECONDS: Final = 1.0
@@ -50,6 +52,8 @@
         self.cold_until = 0.0
         self.expired_at: float | None = None
         self.backoff_until = 0.0
+        #: True once it announced in a response that it is leaving.
+        self.is_leaving = False
         #: When it last sent a response head or an event to this entry.
         self.heard_at = 0.0
         #: True from a failed connection, or from its zone's return, until
@@ -78,10 +82,10 @@
         return self.is_presumed_cold or time.monotonic() < self.cold_until
 
     def is_usable(self) -> bool:
-        """Return True unless the endpoint drains or is in backoff."""
-        return (
-            not self.record.draining and time.monotonic() >= self.backoff_until
-        )
+        """Return True unless the endpoint leaves or is in backoff."""
+        if self.record.draining or self.is_leaving:
+            return False
+        return time.monotonic() >= self.backoff_until
 
     def record_latency_ratio(self, ratio: float) -> None:
         """Record the observed over the expected latency of one response."""
@@ -99,6 +103,12 @@
             self._backoff = min(MAX_BACKOFF_SECONDS, self._backoff * 2)
             self.is_presumed_cold = True
 
+    def record_leaving(self) -> None:
+        """Record that the endpoint announced that it is leaving."""
+        if not self.is_leaving:
+            self.is_leaving = True
+            _log_endpoint('endpoint announced its leaving', self.record)
+
     def record_progress(self) -> None:
         """Record that the endpoint sent a response head or an event."""
         self.heard_at = time.monotonic()
@@ -173,6 +183,9 @@
         self._decoder = decoder
         self._on_removed = on_removed
         self._endpoints: dict[str, Endpoint] = {}
+        #: Removed endpoints, oldest first. One that registers again keeps what
+        #: it announced in responses.
+        self._removed: OrderedDict[str, Endpoint] = OrderedDict()
         self._store_returned_at = float('-inf')
 
     def list_service(self, service: str) -> list[Endpoint]:
@@ -204,7 +217,7 @@
         known = self._endpoints.get(key)
         if known is None or _is_other_incarnation(known.record, record):
             self._remove(key, 'replaced')
-            self._endpoints[key] = Endpoint(record)
+            self._endpoints[key] = self._create(key, record)
             _log_endpoint('endpoint registered', record)
             return
         if record.draining and not known.record.draining:
@@ -243,9 +256,20 @@
         else:
             self._remove(key, 'removed')
 
+    def _create(self, key: str, record: EndpointRecord) -> Endpoint:
+        """Return the removed endpoint of the same incarnation, or a new one."""
+        removed = self._removed.pop(key, None)
+        if removed is None or _is_other_incarnation(removed.record, record):
+            return Endpoint(record)
+        removed.update(record)
+        return removed
+
     def _remove(self, key: str, why: str) -> None:
         endpoint = self._endpoints.pop(key, None)
         if endpoint is not None:
+            self._removed[key] = endpoint
+            while len(self._removed) > MAX_REMOVED:
+                self._removed.popitem(last=False)
             logger.info('endpoint removed', endpoint=key, why=why)
             self._on_removed(endpoint)
 
--- a/src/toucancourse/forwarding/objects.py
+++ b/src/toucancourse/forwarding/objects.py
@@ -200,6 +200,8 @@
     not_run: bool
     #: True if the address belongs to another endpoint now (status 421).
     misdirected: bool
+    #: True if the endpoint announces that it is leaving.
+    is_leaving: bool
     load: Load | None
     #: The model's confidence in its output in [0, 1], or None.
     confidence: float | None
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -325,6 +325,8 @@
         head = exchange.read_head(until)
         endpoint = attempt.choice.endpoint
         endpoint.record_progress()
+        if head.is_leaving:
+            endpoint.record_leaving()
         if head.load is not None:
             endpoint.backlog.record_load(head.load)
         if head.cold_seconds is not None:
--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -90,6 +90,7 @@
             is_signed=names.SIGNATURE.lower() in fields,
             not_run=not_run,
             misdirected=status == HTTPStatus.MISDIRECTED_REQUEST,
+            is_leaving=names.LEAVING.lower() in fields,
             load=_decode_load(fields.get(names.SERVER_LOAD.lower(), '')),
             confidence=_decode_number(fields, names.CONFIDENCE, 100),
             cold_seconds=_decode_number(
--- a/src/toucancourse/platform/names.py
+++ b/src/toucancourse/platform/names.py
@@ -24,6 +24,8 @@
 NOT_EXECUTED: Final = 'X-Not-Executed'
 SERVER_LOAD: Final = 'X-Server-Load'
 CONFIDENCE: Final = 'X-Routing-Confidence'
+#: Set in all responses of an endpoint that is leaving.
+LEAVING: Final = 'Server-Leaving'
 COLD_REMAINING: Final = 'X-Cold-Remaining-Ms'
 
 #: Headers that only the router may set; removed from callers' requests.
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -56,6 +56,10 @@
         self.confidence: int | None = None
         #: Confidence by model; takes precedence over `confidence`.
         self.model_confidence: dict[str, int] = {}
+        #: True to announce in all responses that it is leaving.
+        self.is_leaving = False
+        #: Retry-After of rejections in seconds, or ''.
+        self.retry_after = ''
         #: Number of events in a stream.
         self.events = 4
         #: Delay before each event, in seconds.
@@ -141,6 +145,8 @@
         headers = {'X-Not-Executed': '1'}
         if identifier:
             headers['X-Attempt-Id'] = identifier
+        if self.retry_after:
+            headers['Retry-After'] = self.retry_after
         self._send(request, status, headers, b'')
 
     def _send_forever(
@@ -236,6 +242,8 @@
             'X-Server-Signature': SIGNATURE,
             'X-Server-Load': '1,0,8',
         }
+        if self.is_leaving:
+            headers['Server-Leaving'] = '1'
         if fault == 'unsigned':
             headers.pop('X-Server-Signature')
         confidence = self.model_confidence.get(
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -405,3 +405,49 @@
         ]
         assert new.runs()
         assert {response.status for response in responses} == {200}
+
+
+class TestAnnouncements:
+    """What an endpoint announces in its responses is respected at once."""
+
+    # Guards against requests to an endpoint that said that it is leaving.
+    def test_leaving_endpoint_gets_no_further_request(
+        self, relay: RelayHarness
+    ) -> None:
+        leaving = relay.replicas[0]
+        leaving.is_leaving = True
+        while not leaving.runs():
+            relay.send('/look/x')
+        before = len(leaving.runs())
+        for _ in range(20):
+            assert relay.send('/look/x').status == 200
+        assert len(leaving.runs()) == before
+
+    # Guards against its use after an outage in which its record expired.
+    def test_leaving_endpoint_stays_unused_when_it_registers_again(
+        self, relay: RelayHarness
+    ) -> None:
+        leaving = relay.replicas[0]
+        leaving.is_leaving = True
+        while not leaving.runs():
+            relay.send('/look/x')
+        before = len(leaving.runs())
+        relay.endpoints.apply(leaving.identifier, None)
+        relay.endpoints.apply(leaving.identifier, leaving.record(sequence=2))
+        for _ in range(20):
+            relay.send('/look/x')
+        assert len(leaving.runs()) == before
+
+    def test_new_incarnation_of_a_leaving_endpoint_is_used(
+        self, relay: RelayHarness
+    ) -> None:
+        leaving = relay.replicas[0]
+        leaving.is_leaving = True
+        while not leaving.runs():
+            relay.send('/look/x')
+        before = len(leaving.runs())
+        leaving.is_leaving = False
+        relay.endpoints.apply(leaving.identifier, leaving.record(born=2))
+        relay.endpoints.apply(relay.replicas[1].identifier, None)
+        assert relay.send('/look/x').status == 200
+        assert len(leaving.runs()) == before + 1
