Send nothing to an endpoint for as long as its refusal asks

A 503 of an endpoint may now say for how long it wants nothing from this instance. The time is kept with the endpoint; when all usable ones asked to wait, callers are told when the first accepts again, instead of a fixed 0.4 s.

test_endpoint_that_asked_to_wait_gets_nothing_until_then (4 refusals, 1 allowed) and test_caller_is_told_when_the_first_endpoint_accepts_again (0.4 s, 3 s expected) failed before.

--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -1,6 +1,6 @@
 """Admission of requests and selection of their endpoints."""
 
-from collections.abc import Callable, Collection
+from collections.abc import Callable, Collection, Sequence
 from typing import Final, NamedTuple
 
 from ..errors import (
@@ -175,7 +175,7 @@
         if scored is None:
             raise NoEndpointError(
                 f'service "{service}" has no usable endpoint',
-                NO_ENDPOINT_RETRY_SECONDS,
+                _find_retry_seconds(candidates),
             )
         return EndpointChoice(
             scored, service, scored.endpoint.record.version, rank
@@ -190,6 +190,12 @@
         )
 
 
+def _find_retry_seconds(candidates: Sequence[Endpoint]) -> float:
+    """Return when the first endpoint that asked to wait accepts again."""
+    pauses = [round(endpoint.find_pause(), 1) for endpoint in candidates]
+    return max(NO_ENDPOINT_RETRY_SECONDS, min(pauses, default=0))
+
+
 def _choose_service(route: Route, call: Call) -> str:
     """Return the service for a call by the route's traffic split.
 
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -31,6 +31,8 @@
 INITIAL_BACKOFF_SECONDS: Final = 0.3
 MAX_BACKOFF_SECONDS: Final = 2.4
 RATE_WINDOW_SECONDS: Final = 1.0
+#: Longest pause that an endpoint may ask for.
+MAX_PAUSE_SECONDS: Final = 3600.0
 #: Removed endpoints that are remembered.
 MAX_REMOVED: Final = 200
 #: Longest time from the choice of an endpoint until the request is sent, while
@@ -52,6 +54,8 @@
         self.cold_until = 0.0
         self.expired_at: float | None = None
         self.backoff_until = 0.0
+        #: Until when it asked this entry to send nothing.
+        self.paused_until = 0.0
         #: True once it announced in a response that it is leaving.
         self.is_leaving = False
         #: When it last sent a response head or an event to this entry.
@@ -82,10 +86,10 @@
         return self.is_presumed_cold or time.monotonic() < self.cold_until
 
     def is_usable(self) -> bool:
-        """Return True unless the endpoint leaves or is in backoff."""
+        """Return True unless the endpoint leaves, pauses or is in backoff."""
         if self.record.draining or self.is_leaving:
             return False
-        return time.monotonic() >= self.backoff_until
+        return time.monotonic() >= max(self.backoff_until, self.paused_until)
 
     def record_latency_ratio(self, ratio: float) -> None:
         """Record the observed over the expected latency of one response."""
@@ -109,6 +113,19 @@
             self.is_leaving = True
             _log_endpoint('endpoint announced its leaving', self.record)
 
+    def record_pause(self, seconds: float) -> None:
+        """Record for how long the endpoint wants no request of this entry."""
+        self.paused_until = time.monotonic() + min(seconds, MAX_PAUSE_SECONDS)
+        logger.info(
+            'endpoint asked to wait',
+            endpoint=self.record.identifier,
+            seconds=seconds,
+        )
+
+    def find_pause(self) -> float:
+        """Return for how many seconds the endpoint still wants no request."""
+        return max(0.0, self.paused_until - time.monotonic())
+
     def record_progress(self) -> None:
         """Record that the endpoint sent a response head or an event."""
         self.heard_at = time.monotonic()
--- a/src/toucancourse/forwarding/objects.py
+++ b/src/toucancourse/forwarding/objects.py
@@ -200,6 +200,8 @@
     not_run: bool
     #: True if the address belongs to another endpoint now (status 421).
     misdirected: bool
+    #: Seconds for which the endpoint wants no request, or None.
+    retry_after: float | None
     #: True if the endpoint announces that it is leaving.
     is_leaving: bool
     load: Load | None
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -327,6 +327,8 @@
         endpoint.record_progress()
         if head.is_leaving:
             endpoint.record_leaving()
+        if head.status == HTTPStatus.SERVICE_UNAVAILABLE and head.retry_after:
+            endpoint.record_pause(head.retry_after)
         if head.load is not None:
             endpoint.backlog.record_load(head.load)
         if head.cold_seconds is not None:
--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -3,6 +3,7 @@
 Also encodes the headers of requests to endpoints.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 from http import HTTPStatus
 
@@ -90,6 +91,7 @@
             is_signed=names.SIGNATURE.lower() in fields,
             not_run=not_run,
             misdirected=status == HTTPStatus.MISDIRECTED_REQUEST,
+            retry_after=_decode_retry_after(fields.get('retry-after', '')),
             is_leaving=names.LEAVING.lower() in fields,
             load=_decode_load(fields.get(names.SERVER_LOAD.lower(), '')),
             confidence=_decode_number(fields, names.CONFIDENCE, 100),
@@ -147,6 +149,15 @@
         return None
 
 
+def _decode_retry_after(text: str) -> float | None:
+    """Return the seconds until a retry, or None without a usable number."""
+    try:
+        seconds = float(text)
+    except ValueError:
+        return None
+    return seconds if 0 <= seconds < math.inf else None
+
+
 def _decode_keep_alive(text: str) -> float | None:
     for part in text.split(','):
         name, _, seconds = part.strip().partition('=')
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -56,6 +56,8 @@
         self.confidence: int | None = None
         #: Confidence by model; takes precedence over `confidence`.
         self.model_confidence: dict[str, int] = {}
+        #: Rejections as overloaded so far.
+        self.refusals = 0
         #: True to announce in all responses that it is leaving.
         self.is_leaving = False
         #: Retry-After of rejections in seconds, or ''.
@@ -113,6 +115,7 @@
             return
         fault = self._next_fault()
         if fault == 'shed':
+            self.refusals += 1
             self._refuse(request, 503)
             return
         if fault == 'repeat':
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -451,3 +451,45 @@
         relay.endpoints.apply(relay.replicas[1].identifier, None)
         assert relay.send('/look/x').status == 200
         assert len(leaving.runs()) == before + 1
+
+    # Guards against requests to an endpoint that asked this entry to wait.
+    def test_endpoint_that_asked_to_wait_gets_nothing_until_then(
+        self, relay: RelayHarness
+    ) -> None:
+        busy = relay.replicas[0]
+        busy.fault = 'shed'
+        busy.retry_after = '0.6'
+        while not busy.refusals:
+            relay.send('/look/x')
+        for _ in range(20):
+            assert relay.send('/look/x').status == 200
+        assert busy.refusals == 1
+        busy.fault = ''
+        relay.endpoints.apply(relay.replicas[1].identifier, None)
+        assert relay.send('/look/x').status == 0
+        time.sleep(0.6)
+        assert relay.send('/look/x').status == 200
+
+    @pytest.mark.parametrize('text', ['soon', '-1', 'nan', 'inf', ''])
+    def test_unusable_time_to_wait_is_ignored(
+        self, relay: RelayHarness, text: str
+    ) -> None:
+        for replica in relay.replicas:
+            replica.fault = 'shed'
+            replica.retry_after = text
+            replica.faults_left = 1
+        relay.send('/look/x')
+        assert relay.send('/look/x').status == 200
+
+    # Guards against callers that return before any endpoint accepts them.
+    def test_caller_is_told_when_the_first_endpoint_accepts_again(
+        self, relay: RelayHarness
+    ) -> None:
+        for replica, seconds in zip(relay.replicas, ('3', '5'), strict=True):
+            replica.fault = 'shed'
+            replica.retry_after = seconds
+        relay.send('/look/x')
+        error = relay.send('/look/x').error
+        assert error is not None
+        assert (error.status, error.code) == (503, 'no_endpoint')
+        assert error.retry_after == pytest.approx(3, abs=0.2)
