Keep answers that are no stream out of resumed streams

Operators of similar systems report that clients found an error's text in the middle of their stream, or a stream that ended as if it were complete. Errors, refusals, garbage and unsigned answers were handled already.

A resumption now accepts only an event stream, and an unframed one must have an event. A stream that ends within an event is counted as a lost connection.

test_answer_of_the_next_endpoint_is_no_part_of_the_stream[text] and test_resumed_stream_without_length_or_event_is_not_complete failed before.

--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -294,6 +294,15 @@
         self.is_complete = True
         return b''
 
+    def ends_with_connection(self) -> bool:
+        """Return True if only the connection's end marks the body's end."""
+        response = self._response
+        return (
+            response is not None
+            and not response.chunked
+            and response.length is None
+        )
+
     def is_cancelled(self) -> bool:
         """Return True after cancel()."""
         return self._cancelled
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -23,7 +23,7 @@
     check_deadline,
 )
 from .attempts import Attempt, AttemptProgress, AttemptRecorder
-from .connections import NotSentError, SilentError
+from .connections import ConnectionLostError, NotSentError, SilentError
 from .context import RelayContext
 from .events import EventSplitter
 from .messages import RawRequest
@@ -367,6 +367,8 @@
             return self._forward_failure(attempt, head)
         if route.kind is RouteKind.stream and head.is_event_stream:
             return self._forward_stream(attempt, head)
+        if self._has_started:
+            raise EndpointError('the stream was resumed without a stream')
         body = attempt.exchange.read_body(self._cutoff)
         self._recorder.record_success(self._call, attempt)
         self._send_response(head, body)
@@ -422,7 +424,9 @@
                 self._write_events(attempt, head, events.content)
                 self._last_event = events.last_id or self._last_event
         if event_splitter.has_partial_event() or not self._has_started:
-            raise EndpointError('the stream ended within an event')
+            raise ConnectionLostError('the stream ended within an event')
+        if exchange.ends_with_connection() and not attempt.progress.events:
+            raise ConnectionLostError('the resumed stream has no event')
         if not attempt.options.last_event:
             self._context.admission.lengths.observe(
                 attempt.route.name,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -3,6 +3,7 @@
 import json
 import threading
 import time
+from collections.abc import Callable
 from http.server import ThreadingHTTPServer
 from typing import Any
 
@@ -39,6 +40,9 @@
         #: 'extra' - a second, unrequested response,
         #: 'garbage' - no HTTP,
         #: 'silent' - no response, connection closed after 1.5 s,
+        #: 'text' - a plain text instead of a stream,
+        #: 'not_found' - status 404,
+        #: 'unframed_empty' - a stream that ends with its connection at once,
         #: 'unsigned' - response without the signature header,
         #: 'crossed' - response with the id of another attempt,
         #: 'close' - connection closed without a response,
@@ -64,6 +68,10 @@
         self.retry_after = ''
         #: Number of events in a stream.
         self.events = 4
+        #: False to end streams with their connections, without chunks.
+        self.is_framed = True
+        #: Called when a stream is cut off.
+        self.on_cut: Callable[[], object] = int
         #: Delay before each event, in seconds.
         self.event_delay = 0.005
         #: Part of a prompt on which the endpoint crashes once it has sent the
@@ -201,17 +209,32 @@
 
     def _stream(self, request: Request, fault: str) -> None:
         handler = request.handler
-        if fault == 'error':
+        other_answers = {
+            'error': (500, b'failed'),
+            'not_found': (404, b'missing'),
+            'text': (200, b'no stream'),
+        }
+        if fault in other_answers:
+            status, body = other_answers[fault]
             self._send(
-                request, 500, self._make_headers(request, fault), b'failed'
+                request, status, self._make_headers(request, fault), body
             )
             return
+        if fault == 'garbage':
+            handler.wfile.write(b'\x00\x01 no answer\r\n\r\n')
+            request.drop()
+            return
+        is_framed = self.is_framed and fault != 'unframed_empty'
         handler.send_response(200)
         for name, text in self._make_headers(request, fault).items():
             handler.send_header(name, text)
         handler.send_header('Content-Type', 'text/event-stream')
-        handler.send_header('Transfer-Encoding', 'chunked')
+        if is_framed:
+            handler.send_header('Transfer-Encoding', 'chunked')
         handler.end_headers()
+        if fault == 'unframed_empty':
+            request.drop()
+            return
         if self._crashes_on(handler.headers.get('X-Prompt-Prefix', '')):
             self.crashes += 1
             request.drop()
@@ -223,12 +246,18 @@
                 event = f'id: {number}\ndata: piece {number}\n\n'.encode()
                 if number == self.cut_at:
                     event = event[:8]
-                handler.wfile.write(b'%x\r\n%b\r\n' % (len(event), event))
+                if is_framed:
+                    event = b'%x\r\n%b\r\n' % (len(event), event)
+                handler.wfile.write(event)
                 handler.wfile.flush()
                 if number == self.cut_at:
+                    self.on_cut()
                     request.drop()
                     return
-            handler.wfile.write(b'0\r\n\r\n')
+            if is_framed:
+                handler.wfile.write(b'0\r\n\r\n')
+            else:
+                request.drop()
         except OSError:
             self.disconnects.release()
             request.drop()
--- a/tests/test_relay.py
+++ b/tests/test_relay.py
@@ -493,3 +493,71 @@
         assert error is not None
         assert (error.status, error.code) == (503, 'no_endpoint')
         assert error.retry_after == pytest.approx(3, abs=0.2)
+
+
+class TestBrokenStreams:
+    """A stream that breaks off goes on as a stream, or is seen to be broken."""
+
+    @pytest.fixture
+    def broken(self, relay: RelayHarness) -> RelayHarness:
+        """Return a relay whose endpoints break the first stream off."""
+        for replica in relay.replicas:
+            replica.cut_at = 3
+        return relay
+
+    # Guards against an error's text, or an end, in the middle of a stream.
+    @pytest.mark.parametrize(
+        'fault', ['error', 'text', 'not_found', 'shed', 'garbage', 'unsigned']
+    )
+    def test_answer_of_the_next_endpoint_is_no_part_of_the_stream(
+        self, broken: RelayHarness, fault: str
+    ) -> None:
+        first, second = broken.replicas
+        broken.endpoints.apply(second.identifier, None)
+        second.fault = fault
+        first.on_cut = lambda: broken.endpoints.apply(
+            second.identifier, second.record()
+        )
+        response = broken.send('/draft/x')
+        assert response.body == (
+            b'id: 1\ndata: piece 1\n\nid: 2\ndata: piece 2\n\n'
+        )
+        assert response.is_aborted
+        assert not response.is_finished
+
+    # Guards against a crash that looks like the end of a resumed stream.
+    def test_resumed_stream_without_length_or_event_is_not_complete(
+        self, broken: RelayHarness
+    ) -> None:
+        first, second = broken.replicas
+        broken.endpoints.apply(second.identifier, None)
+        second.fault = 'unframed_empty'
+        first.on_cut = lambda: broken.endpoints.apply(
+            second.identifier, second.record()
+        )
+        response = broken.send('/draft/x')
+        assert response.is_aborted
+        assert not response.is_finished
+
+    def test_stream_that_ends_with_its_connection_is_complete(
+        self, relay: RelayHarness
+    ) -> None:
+        for replica in relay.replicas:
+            replica.is_framed = False
+        response = relay.send('/draft/x')
+        assert response.body.count(b'id:') == 4
+        assert response.is_finished
+
+    def test_stream_that_ends_within_an_event_is_resumed(
+        self, broken: RelayHarness
+    ) -> None:
+        for replica in broken.replicas:
+            replica.is_framed = False
+        broken.replicas[1].cut_at = 0
+        broken.endpoints.apply(broken.replicas[1].identifier, None)
+        broken.replicas[0].on_cut = lambda: broken.endpoints.apply(
+            broken.replicas[1].identifier, broken.replicas[1].record()
+        )
+        response = broken.send('/draft/x')
+        assert response.body.count(b'id:') == 4
+        assert response.is_finished
