Follow the store's topics past any odd record

Seen here by tests: a number too large for a float (1e999) raised OverflowError, which no decoder's caller catches, so the thread that follows the topic ended and the entry kept its old endpoints for good. A port above 65535 was accepted and wrapped to another one, a host name that is no address could end a request without an answer, infinite or undefined numbers were taken over. Deep nesting is rejected at the recursion limit; in a request's 256 KB stack this passes here, in 128 KB it ends the process, so feeds get 2 MB.

Now addresses and numbers are checked, OverflowError counts as a malformed record, and any other fault of a listener is logged with its record while the feed goes on.

Failed before: test_topics_are_followed_after_an_odd_record[large-number], nine cases of test_record_with_bad_field_is_rejected, test_records_after_a_fault_are_applied. Deep nesting, large ports and raw bytes in the store stopped nothing before either.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -91,6 +91,7 @@
 #: probes once a second and removes the entry after two failures; later requests
 #: come on keep-alive connections only, and might exceed the grace period.
 BALANCER_NOTICE_SECONDS: Final = 2.6
+FEED_STACK_BYTES: Final = 2_097_152
 DRAIN_POLL_SECONDS: Final = 0.05
 #: Interval of checks that this entry is registered.
 REGISTRATION_INTERVAL_SECONDS: Final = 0.25
@@ -183,12 +184,16 @@
 
     def start(self) -> None:
         """Follow the store's topics and serve callers."""
+        # Deeply nested records are rejected at the interpreter's recursion
+        # limit, which needs more than the stack of a request's thread.
+        request_stack = threading.stack_size(FEED_STACK_BYTES)
         for feed in (
             self._operator_feed,
             self._endpoint_feed,
             self._status_feed,
         ):
             _start_thread(feed.run)
+        threading.stack_size(request_stack)
         _start_thread(self._register)
         _start_thread(self._run_maintenance)
         _start_thread(lambda: self._quarantine.run(self._stopped))
--- a/src/toucancourse/errors.py
+++ b/src/toucancourse/errors.py
@@ -10,6 +10,7 @@
     KeyError,
     AttributeError,
     RecursionError,
+    OverflowError,
 )
 
 
--- a/src/toucancourse/membership/feeds.py
+++ b/src/toucancourse/membership/feeds.py
@@ -180,7 +180,12 @@
             self._offsets.pop(record.key, None)
         else:
             self._offsets[record.key] = record.offset
-        self._listener.apply(record.key, record.content)
+        try:
+            self._listener.apply(record.key, record.content)
+        except Exception:  # noqa: BLE001 - others' records must be followed
+            logger.exception(
+                'record not applied', feed=self._name, key=record.key
+            )
 
     def _record_failure(self, error: LogDownError) -> None:
         if self._is_down:
--- a/src/toucancourse/platform/records.py
+++ b/src/toucancourse/platform/records.py
@@ -1,6 +1,8 @@
 """Decodes the platform's records into the router's types."""
 
+import ipaddress
 import json
+import math
 from collections.abc import Mapping
 from typing import Any, Final
 
@@ -33,6 +35,7 @@
 DRAINING: Final = 'draining'
 ENDPOINT_STATES: Final = frozenset(('ready', DRAINING))
 MS_PER_SECOND: Final = 1000.0
+MAX_PORT: Final = 65_535
 #: Idle timeout of callers' connections if the configuration states none.
 DEFAULT_IDLE_MS: Final = 15_000
 #: Roll-out state of the router -> its name in status records.
@@ -117,24 +120,24 @@
 def decode_endpoint(identifier: str, raw: bytes) -> EndpointRecord:
     """Return an endpoint's registration.
 
-    Raises one of errors.DECODE_ERRORS, also if the state is unknown or the
-    address is not "host:port".
+    Raises one of errors.DECODE_ERRORS, also if the state is unknown, the
+    address is not "IP address:port" or a number is not finite.
     """
     fields = json.loads(raw)
     state = fields['state']
     if state not in ENDPOINT_STATES:
         raise ValueError(f'unknown endpoint state "{state}"')
-    host, _, port = fields['address'].rpartition(':')
+    host, port = _decode_address(_get_text(fields, 'address'))
     return EndpointRecord(
         identifier=identifier,
         service=_get_text(fields, 'service'),
         host=host,
-        port=int(port),
+        port=port,
         zone=_get_text(fields, 'zone'),
         version=_get_text(fields, 'version'),
         slots=int(fields['slots']),
         draining=state == DRAINING,
-        cold_seconds=float(fields.get('coldRemainingMs') or 0) / MS_PER_SECOND,
+        cold_seconds=_get_finite(fields, 'coldRemainingMs') / MS_PER_SECOND,
         incarnation=int(fields.get('born') or 0),
     )
 
@@ -148,6 +151,23 @@
     )
 
 
+def _decode_address(text: str) -> tuple[str, int]:
+    """Return the IP address and the port in "address:port"."""
+    host, _, port = text.rpartition(':')
+    ipaddress.ip_address(host)
+    if not 0 < int(port) <= MAX_PORT:
+        raise ValueError(f'port {port} is out of range')
+    return host, int(port)
+
+
+def _get_finite(fields: Mapping[str, Any], name: str) -> float:
+    """Return a number, or 0 if the field is missing or null."""
+    number = float(fields.get(name) or 0)
+    if not math.isfinite(number):
+        raise ValueError(f'field "{name}" is not finite')
+    return number
+
+
 def _get_text(fields: Mapping[str, Any], name: str) -> str:
     text = fields[name]
     if not isinstance(text, str):
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -143,6 +143,32 @@
         assert table.contents == {'a': b'new'}
 
 
+class FailingListener(TableListener):
+    """Fails on the record of one key."""
+
+    def apply(self, key: str, content: bytes | None) -> None:
+        """Raise an error that no decoder raises for the key "odd"."""
+        if key == 'odd':
+            raise ZeroDivisionError
+        super().apply(key, content)
+
+
+class TestListenerFaults:
+    """A listener's fault with one record affects no other record."""
+
+    # Guards against a feed that ends at one record and follows nothing more.
+    def test_records_after_a_fault_are_applied(self) -> None:
+        listener = FailingListener()
+        records = (Record('odd', b'1', 0), Record('next', b'2', 1))
+        end = [LogDownError('no more steps')] * 100
+        topic = ScriptedTopic(Records((), 0), Records(records, 2), *end)
+        feed = Feed('test', topic, listener, PollTiming(0.0, 0.0))
+        thread = threading.Thread(target=feed.run, daemon=True)
+        thread.start()
+        wait_until(lambda: 'next' in listener.contents, 2, 'next record')
+        feed.stop()
+
+
 class TestProof:
     """The freshness proof dates from the start of the last full read."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -134,6 +134,50 @@
         assert not any(replica.runs() for replica in fleet.replicas)
 
 
+#: Entries of another writer: key -> content.
+ODD_ENTRIES = {
+    'deep-list': b'[' * 200_000 + b']' * 200_000,
+    'deep-table': b'{"address":' * 100_000 + b'1' + b'}' * 100_000,
+    'large-number': b'{"service": "desk", "address": "127.0.0.1:80",'
+    b' "zone": "zone-a", "version": "v1", "slots": 1e999,'
+    b' "state": "ready", "born": 1}',
+    'large-port': b'{"service": "desk", "address": "127.0.0.1:99999",'
+    b' "zone": "zone-a", "version": "v1", "slots": 9,'
+    b' "state": "ready", "born": 1}',
+    'bytes': bytes(range(256)),
+}
+
+
+class TestOddEntries:
+    """An odd record of another writer stops nothing."""
+
+    # Guards against an entry that ends or stops following the store's topics.
+    @pytest.mark.parametrize('name', ODD_ENTRIES)
+    def test_topics_are_followed_after_an_odd_record(
+        self, fleet: Fleet, name: str
+    ) -> None:
+        for topic in ('keyed.servers', 'keyed.status', 'keyed.op'):
+            for key in ('odd', 'rollout/odd', 'crash/odd/1', 'config'):
+                if (topic, key) != ('keyed.op', 'config'):
+                    fleet.store.put(topic, key, ODD_ENTRIES[name])
+        for replica in fleet.replicas:
+            fleet.store.put('keyed.servers', replica.identifier, None)
+        replacement = Replica('i-3')
+        try:
+            fleet.store.put('keyed.servers', 'i-3', replacement.record())
+            wait_until(
+                lambda: (
+                    fleet.send('/book/x').status == 200
+                    and bool(replacement.runs())
+                ),
+                6,
+                'request at the new endpoint',
+            )
+            assert fleet.node.is_running()
+        finally:
+            replacement.close()
+
+
 class TestConnections:
     """Many open connections exhaust neither threads nor descriptors."""
 
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -1,6 +1,7 @@
 """Tests of decoding the platform's records, settings and messages."""
 
 import json
+import math
 from pathlib import Path
 from typing import Any
 
@@ -120,6 +121,16 @@
             {'address': 'nowhere'},
             {'slots': 'many'},
             {'zone': None},
+            {'address': '127.0.0.1:99999'},
+            {'address': '127.0.0.1:0'},
+            {'address': '127.0.0.1:-1'},
+            {'address': 'no.address:80'},
+            {'slots': math.inf},
+            {'slots': 1e999},
+            {'born': math.inf},
+            {'coldRemainingMs': math.nan},
+            {'coldRemainingMs': math.inf},
+            {'coldRemainingMs': 10**400},
         ],
     )
     def test_record_with_bad_field_is_rejected(
