Ignore odd numbers in headers

A superscript digit counts as a digit for str.isdigit() but is no number, so a load or keep-alive header with one ended the request without an answer; an infinite cold time kept an endpoint cold; an infinite deadline of a caller reached the socket's timeout. All ten cases of TestOddHeaders but Retry-After failed before (the four deadlines: seen with the import added; bad request now).

--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -37,7 +37,11 @@
         prompt_tokens, _, output_tokens = fields.get(
             names.TOKEN_COUNTS.lower(), '0,0'
         ).partition(',')
-        deadline_ms = fields.get(names.DEADLINE.lower(), DEFAULT_DEADLINE_MS)
+        deadline_ms = float(
+            fields.get(names.DEADLINE.lower(), DEFAULT_DEADLINE_MS)
+        )
+        if not math.isfinite(deadline_ms):
+            raise ValueError(f'the deadline of {deadline_ms} ms is not finite')
         model = fields.get(names.MODEL.lower(), '')
         return Call(
             identifier=fields.get(names.ATTEMPT_ID.lower(), ''),
@@ -47,7 +51,7 @@
             headers=_remove_headers(raw.headers, fields),
             body=raw.body,
             api_key=fields.get(names.CALLER_KEY.lower(), ''),
-            deadline=raw.received + float(deadline_ms) / MS_PER_SECOND,
+            deadline=raw.received + deadline_ms / MS_PER_SECOND,
             received=raw.received,
             prompt=tuple(
                 _decode_prompt(fields.get(names.PROMPT_PREFIX.lower(), ''))
@@ -127,13 +131,15 @@
 def _decode_prompt(text: str) -> Iterable[PromptPart]:
     for part in text.split(','):
         identifier, _, tokens = part.strip().partition(':')
-        if identifier and tokens.isdigit():
+        if identifier and tokens.isdecimal():
             yield PromptPart(identifier, int(tokens))
 
 
 def _decode_load(text: str) -> Load | None:
     counts = text.split(',')
-    if len(counts) != 3 or not all(count.strip().isdigit() for count in counts):
+    if len(counts) != 3:
+        return None
+    if not all(count.strip().isdecimal() for count in counts):
         return None
     return Load(*(int(count) for count in counts))
 
@@ -143,24 +149,28 @@
     name: str,
     unit: float,
 ) -> float | None:
-    try:
-        return float(fields[name.lower()]) / unit
-    except (KeyError, ValueError):
-        return None
+    number = _parse_finite(fields.get(name.lower(), ''))
+    return None if number is None else number / unit
 
 
 def _decode_retry_after(text: str) -> float | None:
     """Return the seconds until a retry, or None without a usable number."""
+    seconds = _parse_finite(text)
+    return None if seconds is None or seconds < 0 else seconds
+
+
+def _parse_finite(text: str) -> float | None:
+    """Return a number, or None if the text is none or it is infinite."""
     try:
-        seconds = float(text)
+        number = float(text)
     except ValueError:
         return None
-    return seconds if 0 <= seconds < math.inf else None
+    return number if math.isfinite(number) else None
 
 
 def _decode_keep_alive(text: str) -> float | None:
     for part in text.split(','):
         name, _, seconds = part.strip().partition('=')
-        if name == 'timeout' and seconds.isdigit():
+        if name == 'timeout' and seconds.isdecimal():
             return float(seconds)
     return None
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -12,6 +12,7 @@
 from standins.operator_config import make_operator_config
 from toucancourse.errors import DECODE_ERRORS
 from toucancourse.forwarding.endpoints import EndpointRegistry
+from toucancourse.forwarding.messages import RawRequest
 from toucancourse.forwarding.objects import RouteKind
 from toucancourse.forwarding.records import RolloutStatus
 from toucancourse.forwarding.tables import OperatorConfig
@@ -189,6 +190,38 @@
         assert 'X-Hop' not in dict(head.headers)
 
 
+class TestOddHeaders:
+    """Numbers in headers that make no sense neither count nor do harm."""
+
+    # Guards against requests that end without an answer.
+    @pytest.mark.parametrize(
+        ('name', 'text'),
+        [
+            ('Keep-Alive', 'timeout=\xb2'),
+            ('X-Server-Load', '\xb2,0,8'),
+            ('X-Cold-Remaining-Ms', 'inf'),
+            ('X-Cold-Remaining-Ms', 'nan'),
+            ('X-Routing-Confidence', 'nan'),
+            ('Retry-After', 'nan'),
+        ],
+    )
+    def test_odd_number_of_an_endpoint_is_ignored(
+        self, name: str, text: str
+    ) -> None:
+        head = PlatformCodec().decode_head(200, ((name, text),))
+        assert head.keep_alive is None
+        assert head.load is None
+        assert head.cold_seconds is None
+        assert head.confidence is None
+        assert head.retry_after is None
+
+    @pytest.mark.parametrize('text', ['inf', 'nan', '-inf', '1e999'])
+    def test_odd_deadline_is_a_bad_request(self, text: str) -> None:
+        raw = RawRequest('GET', '/', (('X-Deadline-Ms', text),), b'', 0.0)
+        with pytest.raises(DECODE_ERRORS):
+            PlatformCodec().decode_call(raw)
+
+
 class TestSettings:
     """Settings files are validated; an error is a single line."""
 
