Judge a version on trial by the responses of all entries

Cause: each entry judged by its own few responses (7 with 2 bad, 6 with 0 and 21 with 3 at the decision), of which few counted as slow: the bounds were 4 times the usual time, and 12 times once traffic shifts. Ruled out: an entry that missed the order, all had it within 0.1 s.

Change: entries write their counts to the statuses topic, at most every 1.5 s and not near the end, and judge by the sum.

test_slow_version_is_bad_for_all_entries_together and test_entry_without_bad_responses_does_not_complete_it need the new interface; before it each entry counted alone.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -118,7 +118,11 @@
         )
         self._shifts = ShiftRegistry()
         self._rollouts = Rollouts(
-            decoder, self._operators, settings.session, self._shifts
+            decoder,
+            self._operators,
+            settings.session,
+            self._shifts,
+            settings.instance,
         )
         self._entries = EntryRegistry(
             settings.instance,
--- a/src/toucancourse/forwarding/canary.py
+++ b/src/toucancourse/forwarding/canary.py
@@ -46,14 +46,32 @@
         """
         return self.bad / self.answers
 
+    def add(self, other: 'Count') -> 'Count':
+        """Return the sums of both."""
+        return Count(self.answers + other.answers, self.bad + other.bad)
+
+
+class CanaryReport(NamedTuple):
+    """What one entry observed in a roll-out."""
+
+    target: str
+    canary: Count
+    #: Responses of all other versions.
+    baseline: Count
+
 
 class CanaryAnalysis:
-    """Responses of a service's versions, as this entry observed them."""
+    """Responses of a service's versions, as all entries observed them.
+
+    One entry sees too few responses of a canary to tell a bad version early.
+    """
 
     def __init__(self) -> None:
         """Create an analysis without responses."""
         self._lock = threading.Lock()
         self._counts: dict[str, Count] = defaultdict(Count)
+        #: Instance of another entry -> its newest report.
+        self._reports: dict[str, CanaryReport] = {}
         #: Moving average of the baseline latency, in seconds.
         self._baseline_seconds: dict[LatencyClass, float] = {}
 
@@ -86,16 +104,30 @@
             )
         self._add(version, is_bad=is_slow)
 
+    def apply_report(self, instance: str, report: CanaryReport) -> None:
+        """Replace what another entry observed."""
+        with self._lock:
+            self._reports[instance] = report
+
+    def make_report(self, target: str) -> CanaryReport:
+        """Return what this entry observed of a version and all others."""
+        with self._lock:
+            counts = dict(self._counts)
+        canary = counts.pop(target, Count())
+        baseline = Count()
+        for count in counts.values():
+            baseline = baseline.add(count)
+        return CanaryReport(target, canary, baseline)
+
     def count(self, version: str) -> Count:
         """Return the numbers of responses of a version."""
-        return self._counts.get(version, Count())
+        return self._pool(version).canary
 
     def is_bad(self, version: str) -> bool:
         """Return True if a version is significantly worse than the others."""
-        canary = self.count(version)
+        _, canary, baseline = self._pool(version)
         if canary.bad < MIN_BAD_RESPONSES:
             return False
-        baseline = self._count_others(version)
         difference = canary.find_bad_share() - baseline.find_bad_share()
         responses = canary.answers + baseline.answers
         pooled = (canary.bad + baseline.bad) / responses
@@ -114,24 +146,27 @@
         good and stays a canary, since all entries shift traffic to a version
         that one of them finds good.
         """
-        canary = self.count(version)
+        _, canary, baseline = self._pool(version)
         if canary.answers < MIN_RESPONSES or self.is_bad(version):
             return False
-        baseline = self._count_others(version)
         return (
             canary.find_bad_share() - baseline.find_bad_share() < MIN_DIFFERENCE
         )
 
-    def _count_others(self, version: str) -> Count:
-        """Return the sums over all other versions, with the prior."""
-        with self._lock:
-            others = [
-                count for name, count in self._counts.items() if name != version
-            ]
-        return Count(
-            PRIOR_RESPONSES + sum(count.answers for count in others),
-            PRIOR_RESPONSES * PRIOR_SHARE + sum(count.bad for count in others),
+    def _pool(self, version: str) -> CanaryReport:
+        """Return the sums over all entries, with the baseline's prior."""
+        own = self.make_report(version)
+        canary = own.canary
+        baseline = own.baseline.add(
+            Count(PRIOR_RESPONSES, PRIOR_RESPONSES * PRIOR_SHARE)
         )
+        with self._lock:
+            reports = tuple(self._reports.values())
+        for report in reports:
+            if report.target == version:
+                canary = canary.add(report.canary)
+                baseline = baseline.add(report.baseline)
+        return CanaryReport(version, canary, baseline)
 
     def _add(self, version: str, *, is_bad: bool) -> None:
         with self._lock:
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -13,7 +13,13 @@
 from ..membership.clock import read_clock
 from ..membership.feeds import Feed, Listener
 from ..membership.topics import Topic
-from .canary import CanaryAnalysis, LatencyClass
+from .canary import CanaryAnalysis, CanaryReport, Count, LatencyClass
+from .canaryreports import (
+    KEY_PREFIX,
+    decode_key,
+    decode_report,
+    encode_report,
+)
 from .digests import hash_text
 from .objects import RolloutOrder
 from .records import Decoder, RolloutStatus
@@ -34,9 +40,11 @@
 #: Part after which a version with too few responses is rolled back.
 ROLLBACK_AT: Final = 0.97
 #: Multiple of the baseline latency from which a canary's response is bad.
-SLOW_RATIO: Final = 4.0
+SLOW_RATIO: Final = 3.0
 #: The same during the traffic shift, with cold caches and rising load.
-SHIFTED_SLOW_RATIO: Final = 12.0
+SHIFTED_SLOW_RATIO: Final = 6.0
+#: Shortest time between two reports of one entry.
+REPORT_INTERVAL_SECONDS: Final = 1.5
 #: Pause after a write that the store refused or did not answer, in seconds:
 #: each call is billed, and this entry sends a bad version no requests anyway.
 WRITE_RETRY_SECONDS: Final = 1.0
@@ -73,11 +81,14 @@
         operators: OperatorConfig,
         session_seconds: float,
         shifts: ShiftRegistry,
+        instance: str = '',
     ) -> None:
         """Create it without roll-outs.
 
-        A session ends session_seconds after its last response.
+        A session ends session_seconds after its last response. The instance
+        is the name of this entry.
         """
+        self.instance = instance
         self._shifts = shifts
         self._decoder = decoder
         self._operators = operators
@@ -89,14 +100,22 @@
         self._sessions: OrderedDict[int, _SessionPin] = OrderedDict()
 
     def apply(self, key: str, content: bytes | None) -> None:
-        """Apply the newest status of a roll-out."""
+        """Apply the newest status of a roll-out, or another entry's report."""
         if content is None:
             return
         try:
-            status = self._decoder.decode_status(key, content)
+            self._apply_record(key, content)
         except DECODE_ERRORS as error:
             logger.warning('invalid record ignored', key=key, why=repr(error))
+
+    def _apply_record(self, key: str, content: bytes) -> None:
+        if key.startswith(KEY_PREFIX):
+            service, instance = decode_key(key)
+            if instance != self.instance:
+                report = decode_report(content)
+                self.get_analysis(service).apply_report(instance, report)
             return
+        status = self._decoder.decode_status(key, content)
         if status is not None:
             self._statuses[status.service] = status
             logger.info('roll-out status updated', **status._asdict())
@@ -307,6 +326,8 @@
         self._feed = feed
         #: read_clock() until which no record is written.
         self._paused_until = 0.0
+        #: Service -> this entry's newest report, and read_clock() of it.
+        self._reported: dict[str, tuple[CanaryReport, float]] = {}
 
     def check(self) -> None:
         """Write the decisions on running roll-outs that are due."""
@@ -320,10 +341,10 @@
             }:
                 continue
             state = self._decide(timed)
-            if state is None:
-                self._publish_shift(timed)
-            else:
+            if state is not None:
                 self._write_state(timed, state)
+            elif not self._publish_shift(timed):
+                self._publish_report(timed)
 
     def _decide(self, timed: TimedOrder) -> RolloutState | None:
         order = timed.order
@@ -337,17 +358,50 @@
             return RolloutState.back
         return None
 
-    def _publish_shift(self, timed: TimedOrder) -> None:
-        """Publish when the roll-out began, and that its shift may start."""
+    def _publish_report(self, timed: TimedOrder) -> None:
+        """Tell the other entries what this one saw of the version.
+
+        Not near the end: decisions are written on the condition that the
+        topic has not grown.
+        """
+        if self._rollouts.find_progress(timed) >= SHIFT_END:
+            return
+        order = timed.order
+        analysis = self._rollouts.get_analysis(order.service)
+        report = analysis.make_report(order.target)
+        never = (CanaryReport(order.target, Count(), Count()), float('-inf'))
+        known, reported_at = self._reported.get(order.service, never)
+        now = read_clock()
+        if (
+            report.canary == known.canary
+            or now - reported_at < REPORT_INTERVAL_SECONDS
+        ):
+            return
+        self._reported[order.service] = (report, now)
+        key, content = encode_report(
+            order.service, self._rollouts.instance, report
+        )
+        try:
+            self._topic.append(key, content)
+        except LogDownError as error:
+            # The next report has all of this one.
+            logger.info('canary report not written', why=error.text)
+
+    def _publish_shift(self, timed: TimedOrder) -> bool:
+        """Publish when the roll-out began, and that its shift may start.
+
+        Returns False if both are published.
+        """
         order = timed.order
         progress = self._rollouts.find_progress(timed)
         is_good = progress >= SHIFT_START and self._rollouts.is_good(order)
         known = self._shifts.find(order)
         if known is not None and (known.is_good or not is_good):
-            return
+            return False
         began = time.time() - progress * max(1.0, order.duration)
         shift = TrafficShift(order.service, order.target, began, is_good)
         self._write(*encode_shift(shift))
+        return True
 
     def _write_state(self, timed: TimedOrder, state: RolloutState) -> None:
         order = timed.order
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -69,14 +69,16 @@
             raise LogDownError('down')
         return Records(tuple(self.records[start:]), len(self.records))
 
-    def append(self, key: str, content: bytes | None, at: int) -> bool:
-        """Append a record if the topic ends at an offset."""
+    def append(
+        self, key: str, content: bytes | None, at: int | None = None
+    ) -> bool:
+        """Append a record; with `at`, only if the topic ends there."""
         self.appends += 1
         if self.is_down:
             raise LogDownError('down')
-        if at != len(self.records):
+        if at is not None and at != len(self.records):
             return False
-        self.records.append(Record(key, content, at))
+        self.records.append(Record(key, content, len(self.records)))
         if self.loses_responses:
             raise LogDownError('response lost')
         return True
@@ -85,13 +87,13 @@
 class Entry:
     """One entry's view of a roll-out."""
 
-    def __init__(self, topic: Topic) -> None:
+    def __init__(self, topic: Topic, name: str = 'entry-1') -> None:
         """Create an entry that knows the roll-out order."""
         decoder = PlatformDecoder()
         self.operators = OperatorConfig(decoder)
         self.operators.apply('rollout/desk', ORDER)
         self.shifts = ShiftRegistry()
-        self.rollouts = Rollouts(decoder, self.operators, 5, self.shifts)
+        self.rollouts = Rollouts(decoder, self.operators, 5, self.shifts, name)
         self.feed = Feed(
             'statuses',
             topic,
@@ -220,6 +222,83 @@
         assert not entry.analysis.is_bad('v2')
 
 
+class TestSharedAnalysis:
+    """Entries judge a version by what all of them observed."""
+
+    # Guards against a slow version that each entry sees too little of.
+    def test_slow_version_is_bad_for_all_entries_together(
+        self, clock: Clock
+    ) -> None:
+        topic = SharedTopic()
+        entries = [Entry(topic, f'entry-{number}') for number in range(4)]
+        for entry in entries:
+            entry.record_good('v1', 40)
+            entry.record_good('v2', 3)
+            entry.record_good('v2', 2, seconds=0.2 * (SLOW_RATIO + 1))
+            assert not entry.analysis.is_bad('v2')
+        for _ in range(6):
+            clock.now += 2
+            for entry in entries:
+                entry.step()
+        assert any(entry.analysis.is_bad('v2') for entry in entries)
+        assert all(entry.state() is RolloutState.back for entry in entries)
+
+    # Guards against an entry that completes what the others find worse.
+    def test_entry_without_bad_responses_does_not_complete_it(
+        self, clock: Clock
+    ) -> None:
+        topic = SharedTopic()
+        lucky, other = Entry(topic, 'lucky'), Entry(topic, 'other')
+        for entry in (lucky, other):
+            entry.record_good('v1', 60)
+        lucky.record_good('v2', 10)
+        other.record_good('v2', 4)
+        other.record_good('v2', 6, seconds=0.2 * (SLOW_RATIO + 1))
+        for _ in range(3):
+            other.step()
+            lucky.step()
+        clock.now += 20 * 0.95
+        lucky.step()
+        assert lucky.state() is not RolloutState.done
+
+    def test_good_version_is_completed_by_all(self, clock: Clock) -> None:
+        topic = SharedTopic()
+        entries = [Entry(topic, f'entry-{number}') for number in range(4)]
+        while clock.now < 100 + 20 * 0.95:
+            for entry in entries:
+                entry.record_good('v1', 4)
+                entry.record_good('v2', 1)
+                entry.step()
+            clock.now += 0.25
+        assert all(entry.state() is RolloutState.done for entry in entries)
+
+    def test_reports_are_bounded(self, clock: Clock) -> None:
+        topic = SharedTopic()
+        entry = Entry(topic)
+        for _ in range(40):
+            entry.record_good('v2', 1)
+            entry.step()
+            clock.now += 0.25
+        assert topic.appends <= 2 + 10 / module.REPORT_INTERVAL_SECONDS
+
+    @pytest.mark.parametrize(
+        'content',
+        [
+            b'',
+            b'{}',
+            b'{"target": "v2", "canary": [9], "baseline": [0, 0]}',
+            b'{"target": "v2", "canary": [5, 9], "baseline": [0, 0]}',
+            b'{"target": "v2", "canary": [1e999, 0], "baseline": [0, 0]}',
+        ],
+    )
+    def test_invalid_report_is_ignored(
+        self, clock: Clock, content: bytes
+    ) -> None:
+        entry = Entry(SharedTopic())
+        entry.rollouts.apply('canary/desk/entry-2', content)
+        assert not entry.analysis.count('v2').answers
+
+
 class TestSessions:
     """A session is pinned to its version."""
 
