Compare the slow responses of both versions, by first event and by pace

Change: the old version's responses are judged by the same ratio, so the ratio can be 2 (4 for first events in the shift), and the pause between the first three events of a stream is a response of its own.

TestPace fails without it (no such measure).

--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -7,7 +7,7 @@
 
 from ..errors import CourseError, Outcome
 from .admission import EndpointChoice
-from .canary import LatencyClass
+from .canary import PACE, LatencyClass
 from .connections import ConnectionLostError, Exchange, SilentError
 from .context import RelayContext
 from .objects import AttemptOptions, Call, Route
@@ -15,6 +15,8 @@
 
 #: Time to read a response body that is not used.
 DISCARD_SECONDS: Final = 0.03
+#: Events after which the pace of a stream is measured.
+PACE_EVENTS: Final = 3
 #: Longest logged part of an identifier that callers chose.
 LOGGED_CHARACTERS: Final = 40
 
@@ -26,6 +28,20 @@
         """Create it for an attempt without a response."""
         #: Complete events of a stream.
         self.events = 0
+        #: time.monotonic() of the first of them.
+        self._first_at = 0.0
+        #: Seconds between two events; 0 before it was measured.
+        self.pause = 0.0
+
+    def add_events(self, number: int, now: float) -> bool:
+        """Count events; return True once their pause has been measured."""
+        if not self.events:
+            self._first_at = now
+        self.events += number
+        if self.pause or self.events < PACE_EVENTS or now <= self._first_at:
+            return False
+        self.pause = (now - self._first_at) / (self.events - 1)
+        return True
 
 
 class Attempt(NamedTuple):
@@ -116,6 +132,16 @@
             max(0.0, call.deadline - time.monotonic()),
         )
 
+    def record_pace(self, attempt: Attempt) -> None:
+        """Record the measured pause between events of a stream."""
+        choice = attempt.choice
+        self._context.rollouts.record_response(
+            choice.service,
+            choice.version,
+            LatencyClass(attempt.route.name, attempt.model, PACE),
+            attempt.progress.pause,
+        )
+
     def record_end(self, call: Call, attempt: Attempt) -> None:
         """Restart the session's idle time at the end of its response."""
         choice = attempt.choice
--- a/src/toucancourse/forwarding/canary.py
+++ b/src/toucancourse/forwarding/canary.py
@@ -24,12 +24,17 @@
 BASELINE_WEIGHT: Final = 0.1
 
 
+#: In place of the token bits: pauses between events, which do not depend on
+#: cached prompts.
+PACE: Final = -1
+
+
 class LatencyClass(NamedTuple):
     """Requests whose latencies are comparable."""
 
     route: str
     model: str
-    #: Bit length of the number of uncached prompt tokens.
+    #: Bit length of the number of uncached prompt tokens, or PACE.
     token_bits: int
 
 
@@ -84,21 +89,22 @@
         version: str,
         latency_class: LatencyClass,
         seconds: float,
-        slow_ratio: float | None,
+        slow_ratio: float,
+        *,
+        is_canary: bool,
     ) -> None:
         """Count a response and its latency.
 
-        A canary's response is bad if it takes more than slow_ratio times the
-        baseline latency. With None, the response is of the baseline and
-        updates that latency.
+        A response, also one of the baseline, is bad if it takes more than
+        slow_ratio times the baseline latency. Those of the baseline update
+        that latency.
         """
-        baseline = self._baseline_seconds.get(latency_class)
-        is_slow = False
-        if slow_ratio is not None and baseline is not None:
-            is_slow = seconds > slow_ratio * max(MIN_BASELINE_SECONDS, baseline)
-        if slow_ratio is None:
-            if baseline is None:
-                baseline = seconds
+        known = self._baseline_seconds.get(latency_class)
+        baseline = seconds if known is None else known
+        is_slow = known is not None and (
+            seconds > slow_ratio * max(MIN_BASELINE_SECONDS, baseline)
+        )
+        if not is_canary:
             self._baseline_seconds[latency_class] = (
                 baseline + BASELINE_WEIGHT * (seconds - baseline)
             )
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -419,7 +419,8 @@
                 progressed_at = now
                 if not attempt.progress.events:
                     self._context.quarantine.record_success(self._call)
-                attempt.progress.events += events.number
+                if attempt.progress.add_events(events.number, now):
+                    self._recorder.record_pace(attempt)
                 endpoint.record_progress()
                 self._write_events(attempt, head, events.content)
                 self._last_event = events.last_id or self._last_event
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -13,7 +13,13 @@
 from ..membership.clock import read_clock
 from ..membership.feeds import Feed, Listener
 from ..membership.topics import Topic
-from .canary import CanaryAnalysis, CanaryReport, Count, LatencyClass
+from .canary import (
+    PACE,
+    CanaryAnalysis,
+    CanaryReport,
+    Count,
+    LatencyClass,
+)
 from .canaryreports import (
     KEY_PREFIX,
     decode_key,
@@ -39,10 +45,11 @@
 COMPLETE_AT: Final = 0.92
 #: Part after which a version with too few responses is rolled back.
 ROLLBACK_AT: Final = 0.97
-#: Multiple of the baseline latency from which a canary's response is bad.
-SLOW_RATIO: Final = 3.0
+#: Multiple of the baseline latency from which a response is bad. Some of the
+#: baseline's are, so the shares of both are compared.
+SLOW_RATIO: Final = 2.0
 #: The same during the traffic shift, with cold caches and rising load.
-SHIFTED_SLOW_RATIO: Final = 6.0
+SHIFTED_SLOW_RATIO: Final = 4.0
 #: Shortest time between two reports of one entry.
 REPORT_INTERVAL_SECONDS: Final = 1.5
 #: Pause after a write that the store refused or did not answer, in seconds:
@@ -166,12 +173,16 @@
     ) -> None:
         """Record a response and its latency in seconds for its version."""
         timed = self._operators.order(service)
-        slow_ratio = None
-        if timed is not None and timed.order.target == version:
-            is_shifting = self.find_progress(timed) >= SHIFT_START
-            slow_ratio = SHIFTED_SLOW_RATIO if is_shifting else SLOW_RATIO
+        slow_ratio = SLOW_RATIO
+        is_canary = timed is not None and timed.order.target == version
+        if (
+            timed is not None
+            and latency_class.token_bits != PACE
+            and self.find_progress(timed) >= SHIFT_START
+        ):
+            slow_ratio = SHIFTED_SLOW_RATIO
         self.get_analysis(service).record_response(
-            version, latency_class, seconds, slow_ratio
+            version, latency_class, seconds, slow_ratio, is_canary=is_canary
         )
 
     def choose(
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -15,7 +15,8 @@
 from toucancourse.errors import LogDownError
 from toucancourse.forwarding import rollouts as module
 from toucancourse.forwarding import shifts as shifts_module
-from toucancourse.forwarding.canary import CanaryAnalysis, LatencyClass
+from toucancourse.forwarding.attempts import AttemptProgress
+from toucancourse.forwarding.canary import PACE, CanaryAnalysis, LatencyClass
 from toucancourse.forwarding.peers import ListenerGroup
 from toucancourse.forwarding.rollouts import (
     CANARY_SHARE,
@@ -33,6 +34,8 @@
 from toucancourse.membership.topics import Record, Records, Topic
 from toucancourse.platform.records import PlatformDecoder
 
+from .forwarding import RelayHarness
+
 ORDER = b'{"service": "desk", "target": "v2", "durationS": 20}'
 VERSIONS = ('v1', 'v2')
 LATENCY_CLASS = LatencyClass('r', 'm', 8)
@@ -299,6 +302,36 @@
         assert not entry.analysis.count('v2').answers
 
 
+class TestPace:
+    """A version whose events come slowly is bad, whenever the first comes."""
+
+    # Guards against a version that is slow only once its response has begun.
+    def test_slow_events_make_a_version_bad(self, clock: Clock) -> None:
+        pace_class = LatencyClass('r', 'm', PACE)
+        entry = Entry(SharedTopic())
+        clock.now += 20 * SHIFT_START + 1
+        for version, seconds in (('v1', 0.1), ('v2', 0.1 * (SLOW_RATIO + 1))):
+            entry.record_good(version, 20)
+            for _ in range(20):
+                entry.rollouts.record_response(
+                    'desk', version, pace_class, seconds
+                )
+        assert entry.analysis.is_bad('v2')
+
+    def test_pause_is_measured_once_after_some_events(self) -> None:
+        progress = AttemptProgress()
+        measured = [progress.add_events(1, now) for now in (5.0, 5.2, 5.6, 9.0)]
+        assert measured == [False, False, True, False]
+        assert progress.pause == pytest.approx(0.3)
+
+    # Guards against a pace that the relay measures and nobody judges.
+    def test_relay_records_the_pace_of_streams(self) -> None:
+        relay = RelayHarness(replicas=1)
+        relay.send('/draft/x')
+        relay.close()
+        assert relay.rollouts.get_analysis('desk').count('v1').answers == 2
+
+
 class TestSessions:
     """A session is pinned to its version."""
 
