--- a/src/toucancourse/forwarding/quarantine.py
+++ b/src/toucancourse/forwarding/quarantine.py
@@ -180,13 +180,6 @@
                 endpoint = key.removeprefix(CRASH_PREFIX).rpartition('/')[0]
                 self._add_crash(key, Crash(endpoint, parts))
 
-    def list_crashes(self) -> dict[str, Parts]:
-        """Return the parts of the known crashes by their record keys."""
-        with self._lock:
-            return {
-                key: timed.crash.parts for key, timed in self._crashes.items()
-            }
-
     def count_pending(self) -> int:
         """Return the number of records that wait to be written."""
         return len(self._pending)
