--- a/src/toucancourse/forwarding/canary.py
+++ b/src/toucancourse/forwarding/canary.py
@@ -17,9 +17,10 @@
 #: Prior of the baseline: share of bad responses, and weight in responses.
 PRIOR_SHARE: Final = 0.01
 PRIOR_RESPONSES: Final = 10.0
-#: Lower bound of the baseline latency, in seconds: below it, ratios are
-#: noise.
+#: Lower bounds of the baseline latency and of the baseline's pause between
+#: events, in seconds: below them, ratios are noise.
 MIN_BASELINE_SECONDS: Final = 0.1
+MIN_BASELINE_PAUSE_SECONDS: Final = 0.01
 #: Weight of the newest response in the baseline latency.
 BASELINE_WEIGHT: Final = 0.1
 
@@ -101,8 +102,11 @@
         """
         known = self._baseline_seconds.get(latency_class)
         baseline = seconds if known is None else known
+        least = MIN_BASELINE_SECONDS
+        if latency_class.token_bits == PACE:
+            least = MIN_BASELINE_PAUSE_SECONDS
         is_slow = known is not None and (
-            seconds > slow_ratio * max(MIN_BASELINE_SECONDS, baseline)
+            seconds > slow_ratio * max(least, baseline)
         )
         if not is_canary:
             self._baseline_seconds[latency_class] = (
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -318,6 +318,20 @@
                 )
         assert entry.analysis.is_bad('v2')
 
+    # Guards against a bound for first events that hides slow pauses.
+    def test_slow_pauses_of_a_few_hundredths_of_a_second_count(
+        self, clock: Clock
+    ) -> None:
+        pace_class = LatencyClass('r', 'm', PACE)
+        entry = Entry(SharedTopic())
+        for version, seconds in (('v1', 0.04), ('v2', 0.09)):
+            entry.record_good(version, 20)
+            for _ in range(20):
+                entry.rollouts.record_response(
+                    'desk', version, pace_class, seconds
+                )
+        assert entry.analysis.is_bad('v2')
+
     def test_pause_is_measured_once_after_some_events(self) -> None:
         progress = AttemptProgress()
         measured = [progress.add_events(1, now) for now in (5.0, 5.2, 5.6, 9.0)]
