Compare failures and slow responses of versions apart

Since the old version's slow responses count too, its share of bad ones rises under load and hides failures of the new one, and the measured pauses of good streams thinned the failures out. Now failures are compared with failures among the answers, as before, and slow ones with slow ones among the measured times.

test_failing_version_is_bad_while_the_old_one_is_slow and test_measured_pauses_are_no_answers guard it; they were written with the fix and not run on the code before.

--- a/src/toucancourse/forwarding/canary.py
+++ b/src/toucancourse/forwarding/canary.py
@@ -1,6 +1,7 @@
 """Statistical comparison of a canary version with its baseline."""
 
 import math
+import operator
 import threading
 from collections import defaultdict
 from typing import Final, NamedTuple
@@ -40,21 +41,56 @@
 
 
 class Count(NamedTuple):
-    """Numbers of responses, and of bad ones, of one or more versions."""
+    """Numbers of responses of one or more versions.
+
+    Failures and slow responses are compared apart: under load many responses
+    of both versions are slow, which would hide failures of one of them.
+    """
 
     answers: float = 0
+    #: Failed ones among the answers.
     bad: float = 0
-
-    def find_bad_share(self) -> float:
-        """Return the share of bad responses.
-
-        Raises ZeroDivisionError without any response.
-        """
-        return self.bad / self.answers
+    #: Response times and pauses that were measured.
+    timed: float = 0
+    #: Slow ones among the timed.
+    slow: float = 0
 
     def add(self, other: 'Count') -> 'Count':
         """Return the sums of both."""
-        return Count(self.answers + other.answers, self.bad + other.bad)
+        return Count(*map(operator.add, self, other))
+
+    def find_failures(self) -> 'Sample':
+        """Return the failures among the answers."""
+        return Sample(self.answers, self.bad)
+
+    def find_slow(self) -> 'Sample':
+        """Return the slow ones among the measured times."""
+        return Sample(self.timed, self.slow)
+
+
+class Sample(NamedTuple):
+    """Observations of one kind, and the bad ones among them."""
+
+    size: float
+    bad: float
+
+    def find_excess(self, baseline: 'Sample') -> float:
+        """Return by how much the share of bad ones exceeds the baseline's."""
+        if not self.size:
+            return 0.0
+        return self.bad / self.size - baseline.bad / baseline.size
+
+    def is_worse(self, baseline: 'Sample') -> bool:
+        """Return True if the share is significantly above the baseline's."""
+        if self.bad < MIN_BAD_RESPONSES:
+            return False
+        pooled = (self.bad + baseline.bad) / (self.size + baseline.size)
+        error = math.sqrt(
+            pooled * (1 - pooled) * (1 / self.size + 1 / baseline.size)
+        )
+        return self.find_excess(baseline) >= max(
+            MIN_DIFFERENCE, MIN_STANDARD_ERRORS * error
+        )
 
 
 class CanaryReport(NamedTuple):
@@ -83,7 +119,7 @@
 
     def record_failure(self, version: str) -> None:
         """Count a failed response."""
-        self._add(version, is_bad=True)
+        self._add(version, Count(answers=1, bad=1))
 
     def record_response(
         self,
@@ -112,7 +148,8 @@
             self._baseline_seconds[latency_class] = (
                 baseline + BASELINE_WEIGHT * (seconds - baseline)
             )
-        self._add(version, is_bad=is_slow)
+        is_answer = latency_class.token_bits != PACE
+        self._add(version, Count(is_answer, 0, 1, is_slow))
 
     def apply_report(self, instance: str, report: CanaryReport) -> None:
         """Replace what another entry observed."""
@@ -136,18 +173,9 @@
     def is_bad(self, version: str) -> bool:
         """Return True if a version is significantly worse than the others."""
         _, canary, baseline = self._pool(version)
-        if canary.bad < MIN_BAD_RESPONSES:
-            return False
-        difference = canary.find_bad_share() - baseline.find_bad_share()
-        responses = canary.answers + baseline.answers
-        pooled = (canary.bad + baseline.bad) / responses
-        error = math.sqrt(
-            pooled * (1 - pooled) * (1 / canary.answers + 1 / baseline.answers)
-        )
-        return (
-            difference >= MIN_DIFFERENCE
-            and difference >= MIN_STANDARD_ERRORS * error
-        )
+        return canary.find_failures().is_worse(
+            baseline.find_failures()
+        ) or canary.find_slow().is_worse(baseline.find_slow())
 
     def is_good(self, version: str) -> bool:
         """Return True if a version has enough responses and isn't worse.
@@ -159,16 +187,23 @@
         _, canary, baseline = self._pool(version)
         if canary.answers < MIN_RESPONSES or self.is_bad(version):
             return False
-        return (
-            canary.find_bad_share() - baseline.find_bad_share() < MIN_DIFFERENCE
+        excess = max(
+            canary.find_failures().find_excess(baseline.find_failures()),
+            canary.find_slow().find_excess(baseline.find_slow()),
         )
+        return excess < MIN_DIFFERENCE
 
     def _pool(self, version: str) -> CanaryReport:
         """Return the sums over all entries, with the baseline's prior."""
         own = self.make_report(version)
         canary = own.canary
         baseline = own.baseline.add(
-            Count(PRIOR_RESPONSES, PRIOR_RESPONSES * PRIOR_SHARE)
+            Count(
+                PRIOR_RESPONSES,
+                PRIOR_RESPONSES * PRIOR_SHARE,
+                PRIOR_RESPONSES,
+                PRIOR_RESPONSES * PRIOR_SHARE,
+            )
         )
         with self._lock:
             reports = tuple(self._reports.values())
@@ -178,7 +213,6 @@
                 baseline = baseline.add(report.baseline)
         return CanaryReport(version, canary, baseline)
 
-    def _add(self, version: str, *, is_bad: bool) -> None:
+    def _add(self, version: str, observed: Count) -> None:
         with self._lock:
-            known = self._counts[version]
-            self._counts[version] = Count(known.answers + 1, known.bad + is_bad)
+            self._counts[version] = self._counts[version].add(observed)
--- a/src/toucancourse/forwarding/canaryreports.py
+++ b/src/toucancourse/forwarding/canaryreports.py
@@ -36,8 +36,12 @@
     return f'{KEY_PREFIX}{service}/{instance}', fields
 
 
-def _decode_count(pair: list[float]) -> Count:
-    answers, bad = (float(number) for number in pair)
-    if not (0 <= bad <= answers and math.isfinite(answers)):
-        raise ValueError(f'{bad} of {answers} responses is no count')
-    return Count(answers, bad)
+def _decode_count(numbers: list[float]) -> Count:
+    answers, bad, timed, slow = (float(number) for number in numbers)
+    count = Count(answers, bad, timed, slow)
+    for sample in (count.find_failures(), count.find_slow()):
+        if not math.isfinite(sample.size):
+            raise ValueError(f'{sample} is not finite')
+        if not 0 <= sample.bad <= sample.size:
+            raise ValueError(f'{sample} has more bad ones than all')
+    return count
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -289,9 +289,11 @@
         [
             b'',
             b'{}',
-            b'{"target": "v2", "canary": [9], "baseline": [0, 0]}',
-            b'{"target": "v2", "canary": [5, 9], "baseline": [0, 0]}',
-            b'{"target": "v2", "canary": [1e999, 0], "baseline": [0, 0]}',
+            b'{"target": "v2", "canary": [9], "baseline": [0, 0, 0, 0]}',
+            b'{"target": "v2", "canary": [5, 9, 0, 0],'
+            b' "baseline": [0, 0, 0, 0]}',
+            b'{"target": "v2", "canary": [1e999, 0, 0, 0],'
+            b' "baseline": [0, 0, 0, 0]}',
         ],
     )
     def test_invalid_report_is_ignored(
@@ -302,6 +304,34 @@
         assert not entry.analysis.count('v2').answers
 
 
+class TestLoad:
+    """Slow responses of both versions hide no failures."""
+
+    # Guards against a failing version that is kept on a day of high load.
+    def test_failing_version_is_bad_while_the_old_one_is_slow(
+        self, clock: Clock
+    ) -> None:
+        entry = Entry(SharedTopic())
+        entry.record_good('v1', 60)
+        for _ in range(20):
+            entry.record_good('v1', 1, seconds=9.0)
+            entry.record_good('v1', 2)
+        entry.record_good('v2', 40)
+        for _ in range(12):
+            entry.analysis.record_failure('v2')
+        assert entry.analysis.is_bad('v2')
+
+    # Guards against pauses of good responses that dilute the failures.
+    def test_measured_pauses_are_no_answers(self, clock: Clock) -> None:
+        entry = Entry(SharedTopic())
+        entry.record_good('v2', 3)
+        for _ in range(9):
+            entry.rollouts.record_response(
+                'desk', 'v2', LatencyClass('r', 'm', PACE), 0.1
+            )
+        assert entry.analysis.count('v2').answers == 3
+
+
 class TestPace:
     """A version whose events come slowly is bad, whenever the first comes."""
 
@@ -343,7 +373,7 @@
         relay = RelayHarness(replicas=1)
         relay.send('/draft/x')
         relay.close()
-        assert relay.rollouts.get_analysis('desk').count('v1').answers == 2
+        assert relay.rollouts.get_analysis('desk').count('v1').timed == 2
 
 
 class TestSessions:
