--- a/review/lib/fleet.py
+++ b/review/lib/fleet.py
@@ -240,6 +240,10 @@
         self._options = options
         self.port = find_port()
         self.starts = 0
+        self.state = 'ready'
+        #: Reports to the store so far, and Unix millisecond of the start.
+        self.beats = 1
+        self.born = 0
         self.crashes: list[float] = []
         self._closed = threading.Event()
         self._process: subprocess.Popen[bytes] | None = None
@@ -252,22 +256,44 @@
 
     def record(self, **changes: Any) -> bytes:
         """Return its record for the store."""
-        fields = {
+        return json.dumps({**self.fields(), **changes}).encode()
+
+    def fields(self) -> dict[str, Any]:
+        """Return the fields of its record."""
+        return {
             'service': 'desk',
             'address': f'127.0.0.1:{self.port}',
             'zone': 'zone-a',
             'version': 'v1',
             'slots': 128,
-            'state': 'ready',
+            'state': self.state,
             'coldRemainingMs': 0,
-            'sequence': 1,
-            'born': int(time.time() * 1000),
+            'sequence': self.beats,
+            'born': self.born,
         }
-        return json.dumps({**fields, **changes}).encode()
+
+    def beat(self) -> None:
+        """Report to the store, which keeps what differs in more than sequence."""
+        self.beats += 1
+        newest = self._fleet.store.newest('keyed.servers').get(self.identifier)
+        known = json.loads(newest or b'{}')
+        if {**known, 'sequence': 0} != {**self.fields(), 'sequence': 0}:
+            self._fleet.store.put('keyed.servers', self.identifier, self.record())
+
+    def leave(self) -> float:
+        """Report draining, say so in all answers; return when it was acked."""
+        self.state = 'draining'
+        assert self._process is not None
+        self._process.send_signal(signal.SIGUSR1)
+        self.beat()
+        return time.time()
 
     def start(self) -> None:
         """Start the process, register it and watch it."""
         self.starts += 1
+        self.state = 'ready'
+        self.beats = 1
+        self.born = int(time.time() * 1000)
         options = {
             'identifier': self.identifier,
             'port': self.port,
--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -16,6 +16,8 @@
 
 OPTIONS: dict[str, Any] = {}
 JOURNAL = -1
+#: Set by SIGUSR1: the replica is leaving and says so in all its answers.
+LEAVING = threading.Event()
 
 
 def write_row(**row: Any) -> None:
@@ -62,7 +64,8 @@
         time.sleep(OPTIONS.get('work_s' if is_plain else 'prefill_s', 0.05))
         write_row(event='runs', call=call)
         if is_plain:
-            self._send(200, own, b'answer ' + call.encode())
+            body = b'answer ' + call.encode()
+            self._send(200, own, body.ljust(OPTIONS.get('body_bytes', 0), b'.'))
             write_row(event='ends', call=call)
             return
         crashes = OPTIONS.get('crashing_part') in parts[:-1]
@@ -80,7 +83,7 @@
         for number in range(first, OPTIONS.get('events', 6) + 1):
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
             self.wfile.write(b'%x\r\n%b\r\n' % (len(event), event))
-            if crashes:
+            if crashes and number > OPTIONS.get('crash_after', 0):
                 write_row(event='crashes', call=call)
                 os.kill(os.getpid(), signal.SIGKILL)
             self.wfile.flush()
@@ -88,6 +91,12 @@
         self.wfile.write(b'0\r\n\r\n')
         write_row(event='ends', call=call)
 
+    def end_headers(self) -> None:
+        """Add the header of a leaving replica."""
+        if LEAVING.is_set():
+            self.send_header('Server-Leaving', '1')
+        super().end_headers()
+
     def _send(self, status: int, headers: dict[str, str], body: bytes) -> None:
         self.send_response(status)
         for name, text in headers.items():
@@ -97,7 +106,10 @@
         self.wfile.write(body)
 
     def _send_forever(self, headers: dict[str, str]) -> None:
-        """Send a body without end until the caller closes."""
+        """Send a head or a body without end until the caller closes."""
+        if OPTIONS.get('endless_head'):
+            self._repeat(b'HTTP/1.1 100 Continue\r\n\r\n' * 1000)
+            return
         self.send_response(200)
         for name, text in headers.items():
             self.send_header(name, text)
@@ -105,7 +117,9 @@
         self.send_header('Connection', 'close')
         self.end_headers()
         self.wfile.flush()
-        block = b'x' * OPTIONS.get('endless_bytes', 65536)
+        self._repeat(b'x' * OPTIONS.get('endless_bytes', 65536))
+
+    def _repeat(self, block: bytes) -> None:
         try:
             while True:
                 self.wfile.write(block)
@@ -131,6 +145,7 @@
     global JOURNAL
     OPTIONS.update(json.loads(sys.argv[1]))
     JOURNAL = os.open(OPTIONS['journal'], os.O_WRONLY | os.O_APPEND)
+    signal.signal(signal.SIGUSR1, lambda *_: LEAVING.set())
     parent = os.getppid()
 
     def watch() -> None:
