--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -61,8 +61,8 @@
         own['X-Server-Signature'] = f'signature-{call}'
         parts = [part.partition(':')[0] for part in self.headers.get('X-Prompt-Prefix', '').split(',')]
         is_plain = self.headers.get('X-Prompt-Prefix') is None
-        time.sleep(OPTIONS.get('work_s' if is_plain else 'prefill_s', 0.05))
         write_row(event='runs', call=call)
+        time.sleep(OPTIONS.get('work_s' if is_plain else 'prefill_s', 0.05))
         if is_plain:
             body = b'answer ' + call.encode()
             self._send(200, own, body.ljust(OPTIONS.get('body_bytes', 0), b'.'))
