--- a/review/lib/runner.py
+++ b/review/lib/runner.py
@@ -1,6 +1,7 @@
 """Runs a case, writes its record and ends its processes."""
 
 import os
+import signal
 import sys
 import traceback
 from collections.abc import Callable
@@ -18,6 +19,8 @@
 def run_case(path: str, make: Callable[[], Fleet], play: Callable[[Fleet, list[str]], bool]) -> None:
     """Play a case and exit: play returns True if the rule was broken."""
     record: list[str] = [f'with the disruption: {TROUBLE}']
+    # So that all processes are ended if run.sh reaches its time limit.
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))
     code = COULD_NOT_RUN
     fleet = None
     try:
