--- a/review/lib/replica.py
+++ b/review/lib/replica.py
@@ -18,6 +18,10 @@
 JOURNAL = -1
 #: Set by SIGUSR1: the replica is leaving and says so in all its answers.
 LEAVING = threading.Event()
+#: Streams in memory; one may be preempted.
+LOCK = threading.Lock()
+RUNNING: list[str] = []
+PREEMPTED = threading.Lock()
 
 
 def write_row(**row: Any) -> None:
@@ -80,6 +84,21 @@
         self.send_header('Transfer-Encoding', 'chunked')
         self.end_headers()
         first = int(self.headers.get('Last-Event-Id') or 0) + 1
+        with LOCK:
+            RUNNING.append(call)
+        try:
+            self._stream(call, first, crashes)
+        finally:
+            with LOCK:
+                RUNNING.remove(call)
+
+    def _is_newest_without_room(self) -> bool:
+        """Return True if memory has run out; preempts one at a time."""
+        with LOCK:
+            is_full = len(RUNNING) > OPTIONS.get('room', 10_000)
+        return is_full and PREEMPTED.acquire(blocking=False)
+
+    def _stream(self, call: str, first: int, crashes: bool) -> None:
         for number in range(first, OPTIONS.get('events', 6) + 1):
             event = f'id: {number}\ndata: piece {number}\n\n'.encode()
             self.wfile.write(b'%x\r\n%b\r\n' % (len(event), event))
@@ -87,7 +106,13 @@
                 write_row(event='crashes', call=call)
                 os.kill(os.getpid(), signal.SIGKILL)
             self.wfile.flush()
-            time.sleep(OPTIONS.get('event_s', 0.05))
+            pause = 0
+            if number == first and self._is_newest_without_room():
+                pause = OPTIONS['preempted_s']
+                write_row(event='is preempted', call=call)
+            time.sleep(pause or OPTIONS.get('event_s', 0.05))
+            if pause:
+                PREEMPTED.release()
         self.wfile.write(b'0\r\n\r\n')
         write_row(event='ends', call=call)
 
