Attribute crashes that leave no trace in a response to prompt parts

Cause: the quarantine recorded a crash only between a response's head and its first event, and took the first event for proof that the prompt is sound.

Change: any lost connection of an endpoint that refuses connections right after it is indirect evidence on the parts without a recent response. Three crashes with two different prompts block a part. A prompt counts as survived at the response's end or one second after the first event. This works since a crash has one cause among what was lost in it, and bystanders' parts go on getting responses elsewhere.

--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -8,10 +8,16 @@
 from ..errors import CourseError, Outcome
 from .admission import EndpointChoice
 from .canary import PACE, LatencyClass
-from .connections import ConnectionLostError, Exchange, SilentError
+from .connections import (
+    ConnectionLostError,
+    Exchange,
+    SilentError,
+    is_refusing,
+)
 from .context import RelayContext
 from .objects import AttemptOptions, Call, Route
 from .patience import Patience
+from .quarantine import SURVIVAL_SECONDS
 
 #: Time to read a response body that is not used.
 DISCARD_SECONDS: Final = 0.03
@@ -32,6 +38,12 @@
         self._first_at = 0.0
         #: Seconds between two events; 0 before it was measured.
         self.pause = 0.0
+        #: True once the endpoint is known to have survived the prompt.
+        self.has_survived = False
+
+    def find_age(self, now: float) -> float:
+        """Return the seconds since the first event, at a time.monotonic()."""
+        return now - self._first_at if self.events else 0.0
 
     def add_events(self, number: int, now: float) -> bool:
         """Count events; return True once their pause has been measured."""
@@ -64,7 +76,6 @@
             head is not None
             and head.is_event_stream
             and not self.progress.events
-            and not self.exchange.is_cancelled()
         )
 
     def discard_body(self) -> None:
@@ -132,6 +143,22 @@
             max(0.0, call.deadline - time.monotonic()),
         )
 
+    def record_survival(
+        self, call: Call, attempt: Attempt, *, is_complete: bool
+    ) -> None:
+        """Record once that the prompt did not crash the endpoint.
+
+        One that crashes on it may still send the first events of a stream.
+        """
+        progress = attempt.progress
+        age = progress.find_age(time.monotonic())
+        if progress.has_survived or not (
+            is_complete or age >= SURVIVAL_SECONDS
+        ):
+            return
+        progress.has_survived = True
+        self._context.quarantine.record_success(call)
+
     def record_pace(self, attempt: Attempt) -> None:
         """Record the measured pause between events of a stream."""
         choice = attempt.choice
@@ -149,6 +176,17 @@
             choice.service, call.session, choice.version, 0
         )
 
+    def _record_loss(self, call: Call, attempt: Attempt) -> None:
+        """Record a lost connection that a prompt may have caused."""
+        quarantine = self._context.quarantine
+        record = attempt.choice.endpoint.record
+        if attempt.exchange.is_cancelled():
+            return
+        if attempt.has_only_begun():
+            quarantine.record_crash(call, record)
+        elif quarantine.list_suspects(call) and is_refusing(record):
+            quarantine.record_indirect_crash(call, record)
+
     def record_failure(
         self,
         call: Call,
@@ -181,8 +219,8 @@
         if error.outcome is Outcome.not_run:
             return
         self._context.outliers.record_attempt(record.identifier, failed=True)
-        if isinstance(error, ConnectionLostError) and attempt.has_only_begun():
-            self._context.quarantine.record_crash(call, record)
+        if isinstance(error, ConnectionLostError):
+            self._record_loss(call, attempt)
         analysis = self._context.rollouts.get_analysis(choice.service)
         analysis.record_failure(choice.version)
         if not isinstance(error, SilentError):
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -23,6 +23,8 @@
 #: Connect timeout. Round trips take a few milliseconds, and a lost SYN packet
 #: is only resent after a second, so trying another endpoint is faster.
 CONNECT_SECONDS: Final = 0.4
+#: Connect timeout of the check that an endpoint's process has ended.
+PROBE_SECONDS: Final = 0.1
 #: Idle connections are closed this long before the endpoint's own keep-alive
 #: timeout, so that no request meets a connection that is being closed.
 KEEP_ALIVE_MARGIN_SECONDS: Final = 0.7
@@ -450,6 +452,22 @@
         return connection
 
 
+def is_refusing(record: EndpointRecord) -> bool:
+    """Return True if no process listens at an endpoint's address any more."""
+    address = (record.host, record.port)
+    try:
+        socket.create_connection(address, PROBE_SECONDS).close()
+    except ConnectionRefusedError:
+        return True
+    except OSError as error:
+        logger.debug(
+            'endpoint not probed',
+            endpoint=record.identifier,
+            why=repr(error),
+        )
+    return False
+
+
 def _set_options(sock: Any) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
--- a/src/toucancourse/forwarding/crashes.py
+++ b/src/toucancourse/forwarding/crashes.py
@@ -2,6 +2,7 @@
 
 import hashlib
 import json
+from collections import defaultdict
 from collections.abc import Iterable, Mapping
 from itertools import combinations
 from typing import Final, NamedTuple
@@ -10,22 +11,37 @@
 
 #: Different endpoints that must have crashed on requests with the same parts.
 MIN_CRASHES: Final = 2
+#: The same for indirect evidence, which other requests on these endpoints give
+#: too, and the different requests that must be among it.
+MIN_INDIRECT_CRASHES: Final = 3
+MIN_INDIRECT_REQUESTS: Final = 2
+#: Newest crashes with direct evidence that are compared with each other.
+MAX_DIRECT_CRASHES: Final = 64
 #: Prompt parts of a request that are considered.
 MAX_PARTS: Final = 200
 #: Length from which the identifier of a part is replaced by a digest.
 MAX_IDENTIFIER_LENGTH: Final = 40
 DIGEST_BYTES: Final = 8
 
+#: Fields of a crash's record besides its parts.
+REQUEST: Final = 'request'
+DIRECT: Final = 'direct'
+
 Parts = frozenset[str]
 
 
 class Crash(NamedTuple):
-    """A crash of an endpoint as it began to answer a request."""
+    """A request that was lost in the crash of an endpoint."""
 
     #: Identifier and incarnation of the endpoint.
     endpoint: str
     #: Prompt parts of the request that may be the cause.
     parts: Parts
+    #: Number that names the request's whole prompt.
+    request: int = 0
+    #: True if the endpoint had begun to answer just this request. An endpoint
+    #: that buffers its output shows this of none.
+    is_direct: bool = True
 
 
 def list_shared_parts(call: Call) -> Parts:
@@ -39,14 +55,42 @@
     )
 
 
+def number_prompt(call: Call) -> int:
+    """Return a number that names the whole prompt of a call.
+
+    A caller that repeats a request sends the same prompt.
+    """
+    names = '\0'.join(part.identifier for part in call.prompt)
+    return int.from_bytes(bytes.fromhex(_digest(names)))
+
+
 def find_crashing_sets(crashes: Iterable[Crash]) -> set[Parts]:
     """Return the sets of parts that explain the crashes.
 
-    A prompt with all parts of such a set crashes the endpoint. The set that
-    explains most crashes comes first, and no crash supports two sets; of two
-    sets that explain the same crashes, the larger one affects fewer requests.
+    A prompt with all parts of such a set crashes the endpoint. Crashes that
+    direct evidence explains give no indirect evidence.
     """
-    unexplained = list(crashes)
+    crashes = tuple(crashes)
+    found = _find_direct_sets([crash for crash in crashes if crash.is_direct])
+    explained = {
+        crash.endpoint
+        for crash in crashes
+        if crash.is_direct and any(each <= crash.parts for each in found)
+    }
+    unexplained = [
+        crash for crash in crashes if crash.endpoint not in explained
+    ]
+    return found | _find_indirect_sets(unexplained)
+
+
+def _find_direct_sets(crashes: list[Crash]) -> set[Parts]:
+    """Return the sets of parts that crashes have in common.
+
+    The set that explains most crashes comes first, and no crash supports two
+    sets; of two sets that explain the same crashes, the larger one affects
+    fewer requests.
+    """
+    unexplained = crashes[-MAX_DIRECT_CRASHES:]
     candidates = {
         first.parts & second.parts
         for first, second in combinations(unexplained, 2)
@@ -68,6 +112,45 @@
     return found
 
 
+def _find_indirect_sets(crashes: Iterable[Crash]) -> set[Parts]:
+    """Return the parts that were lost in most crashes, until all are explained.
+
+    Each crash has one cause among the requests that were lost in it. A part is
+    joined by those that all lost requests with it had too.
+    """
+    unexplained = list(crashes)
+    found: set[Parts] = set()
+    while True:
+        losses: dict[str, list[Crash]] = defaultdict(list)
+        for crash in unexplained:
+            for part in crash.parts:
+                losses[part].append(crash)
+        suspects = [lost for lost in losses.values() if _is_suspicious(lost)]
+        if not suspects:
+            return found
+        worst = max(suspects, key=_rank_losses)
+        found.add(frozenset.intersection(*(crash.parts for crash in worst)))
+        explained = {crash.endpoint for crash in worst}
+        unexplained = [
+            crash for crash in unexplained if crash.endpoint not in explained
+        ]
+
+
+def _is_suspicious(lost: list[Crash]) -> bool:
+    """Return True if different requests were lost in different crashes."""
+    endpoints = {crash.endpoint for crash in lost}
+    requests = {crash.request for crash in lost}
+    return (
+        len(endpoints) >= MIN_INDIRECT_CRASHES
+        and len(requests) >= MIN_INDIRECT_REQUESTS
+    )
+
+
+def _rank_losses(lost: list[Crash]) -> tuple[int, int]:
+    """Return a key by which the most likely cause is the greatest."""
+    return len({crash.endpoint for crash in lost}), len(lost)
+
+
 def hash_parts(parts: Parts) -> str:
     """Return a digest that names a set of parts in all processes."""
     return _digest('\0'.join(sorted(parts)))
@@ -78,6 +161,12 @@
     return json.dumps({'parts': sorted(parts), **fields}).encode()
 
 
+def encode_crash(crash: Crash) -> bytes:
+    """Return the content of a crash's record."""
+    fields = {REQUEST: crash.request, DIRECT: int(crash.is_direct)}
+    return encode_parts(crash.parts, **fields)
+
+
 def decode_parts(content: bytes) -> tuple[Parts, Mapping[str, int]]:
     """Return the parts in a record and its further fields.
 
--- a/src/toucancourse/forwarding/quarantine.py
+++ b/src/toucancourse/forwarding/quarantine.py
@@ -13,13 +13,17 @@
 from ..membership.feeds import Listener
 from ..membership.topics import Topic
 from .crashes import (
+    DIRECT,
+    REQUEST,
     Crash,
     Parts,
     decode_parts,
+    encode_crash,
     encode_parts,
     find_crashing_sets,
     hash_parts,
     list_shared_parts,
+    number_prompt,
 )
 from .metrics import ForwardingMetrics
 from .objects import Call, EndpointRecord
@@ -33,7 +37,10 @@
 REMOVAL_JITTER_SECONDS: Final = 20.0
 #: How long after a response its parts are not blocked alone: a crash may also
 #: have a part in common with another crash by chance.
-SOUND_SECONDS: Final = 2.0
+SOUND_SECONDS: Final = 3.0
+#: An endpoint that still writes this long after a stream's first event has
+#: survived its prompt.
+SURVIVAL_SECONDS: Final = 1.0
 #: How long a set of parts is blocked before a request with it is tried again.
 #: It doubles with each trial.
 BLOCK_SECONDS: Final = 20.0
@@ -43,7 +50,7 @@
 ABANDONED_SECONDS: Final = 2 * MAX_BLOCK_SECONDS
 MAX_SOUND_PARTS: Final = 5000
 #: Crashes and blocks that are remembered at the same time.
-MAX_CRASHES: Final = 64
+MAX_CRASHES: Final = 256
 MAX_BLOCKS: Final = 64
 #: Records that wait to be written to the store.
 MAX_PENDING: Final = 200
@@ -85,7 +92,9 @@
 
     Crashes and blocks are records in the store's topic of statuses: an entry
     that restarts or was cut off reads them again. A response to a request
-    shows that none of its parts is the cause.
+    shows that none of its parts is the cause. An endpoint that was lost between
+    the head and the first event of a stream tells which request it began to
+    answer; in any other loss, all that ran there are suspects.
     """
 
     def __init__(
@@ -128,7 +137,7 @@
                 )
 
     def record_success(self, call: Call) -> None:
-        """Record that an endpoint sent an event in response to a call."""
+        """Record that an endpoint survived the response to a call."""
         parts = list_shared_parts(call)
         now = read_clock()
         with self._lock:
@@ -140,22 +149,57 @@
             if self._crashes or self._blocks:
                 self._exonerate(parts)
 
+    def list_suspects(self, call: Call) -> Parts:
+        """Return a call's shared parts that had no response just before."""
+        with self._lock:
+            return self._remove_sound(list_shared_parts(call), read_clock())
+
     def record_crash(self, call: Call, endpoint: EndpointRecord) -> None:
         """Record that an endpoint was lost as it began to answer a call."""
         parts = list_shared_parts(call)
+        self._record(call, endpoint, parts, is_direct=True)
+
+    def record_indirect_crash(
+        self, call: Call, endpoint: EndpointRecord
+    ) -> None:
+        """Record that an endpoint crashed while a call was in flight there.
+
+        Any call that was in flight may be the cause, so only parts without a
+        recent response count.
+        """
+        parts = self.list_suspects(call)
+        self._record(call, endpoint, parts, is_direct=False)
+
+    def _record(
+        self,
+        call: Call,
+        endpoint: EndpointRecord,
+        parts: Parts,
+        *,
+        is_direct: bool,
+    ) -> None:
         if not parts:
             return
-        crash = Crash(f'{endpoint.identifier}.{endpoint.incarnation}', parts)
+        crash = Crash(
+            f'{endpoint.identifier}.{endpoint.incarnation}',
+            parts,
+            number_prompt(call),
+            is_direct,
+        )
         key = f'{CRASH_PREFIX}{crash.endpoint}/{hash_parts(parts)}'
+        if not is_direct:
+            key = f'{key}-{crash.request:x}'
         logger.warning(
-            'endpoint lost as it began to respond',
+            'endpoint lost as it began to respond'
+            if is_direct
+            else 'endpoint crashed with a request in flight',
             call=call.identifier,
             endpoint=endpoint.identifier,
             parts=sorted(parts),
         )
         self._metrics.crashes.inc()
         with self._lock:
-            self._write(key, encode_parts(parts))
+            self._write(key, encode_crash(crash))
             self._add_crash(key, crash)
 
     def apply(self, key: str, content: bytes | None) -> None:
@@ -178,7 +222,11 @@
                 self._add_block(parts, fields.get(TRIALS, 0), 'store')
             elif key not in self._crashes:
                 endpoint = key.removeprefix(CRASH_PREFIX).rpartition('/')[0]
-                self._add_crash(key, Crash(endpoint, parts))
+                is_direct = bool(fields.get(DIRECT, 1))
+                crash = Crash(
+                    endpoint, parts, fields.get(REQUEST, 0), is_direct
+                )
+                self._add_crash(key, crash)
 
     def count_pending(self) -> int:
         """Return the number of records that wait to be written."""
@@ -244,23 +292,31 @@
         """Block the sets of parts that explain the recent crashes."""
         now = read_clock()
         crashes = [
-            timed.crash
+            self._remove_sound_suspects(timed.crash, now)
             for timed in self._crashes.values()
             if now - timed.known_at < CRASH_SECONDS
         ]
         for parts in find_crashing_sets(crashes):
             known = any(block.parts <= parts for block in self._blocks.values())
-            if not known and not self._are_sound(parts, now):
+            if not known and self._remove_sound(parts, now):
                 self._add_block(parts, 0, 'crashes')
                 key = BLOCK_PREFIX + hash_parts(parts)
                 self._write(key, encode_parts(parts, **{TRIALS: 0}))
                 self._remove_wider_blocks(parts)
 
-    def _are_sound(self, parts: Parts, now: float) -> bool:
-        """Return True if all parts had a response just before now."""
+    def _remove_sound_suspects(self, crash: Crash, now: float) -> Crash:
+        """Return indirect evidence without parts that are sound by now."""
+        if crash.is_direct:
+            return crash
+        return crash._replace(parts=self._remove_sound(crash.parts, now))
+
+    def _remove_sound(self, parts: Parts, now: float) -> Parts:
+        """Return the parts that had no response just before now."""
         never = float('-inf')
-        return all(
-            now - self._sound.get(part, never) < SOUND_SECONDS for part in parts
+        return frozenset(
+            part
+            for part in parts
+            if now - self._sound.get(part, never) >= SOUND_SECONDS
         )
 
     def _add_block(self, parts: Parts, trials: int, source: str) -> None:
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -370,6 +370,7 @@
         if self._has_started:
             raise EndpointError('the stream was resumed without a stream')
         body = attempt.exchange.read_body(self._cutoff)
+        self._recorder.record_survival(self._call, attempt, is_complete=True)
         self._recorder.record_success(self._call, attempt)
         self._send_response(head, body)
         return True
@@ -417,10 +418,11 @@
                 if self._has_started:
                     endpoint.pace.observe(events.number, now - progressed_at)
                 progressed_at = now
-                if not attempt.progress.events:
-                    self._context.quarantine.record_success(self._call)
                 if attempt.progress.add_events(events.number, now):
                     self._recorder.record_pace(attempt)
+                self._recorder.record_survival(
+                    self._call, attempt, is_complete=False
+                )
                 endpoint.record_progress()
                 self._write_events(attempt, head, events.content)
                 self._last_event = events.last_id or self._last_event
@@ -428,6 +430,7 @@
             raise ConnectionLostError('the stream ended within an event')
         if exchange.ends_with_connection() and not attempt.progress.events:
             raise ConnectionLostError('the resumed stream has no event')
+        self._recorder.record_survival(self._call, attempt, is_complete=True)
         if not attempt.options.last_event:
             self._context.admission.lengths.observe(
                 attempt.route.name,
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,7 +4,6 @@
 import threading
 import time
 from collections.abc import Callable
-from http.server import ThreadingHTTPServer
 from typing import Any
 
 from .calls import find_port
@@ -74,9 +73,15 @@
         self.on_cut: Callable[[], object] = int
         #: Delay before each event, in seconds.
         self.event_delay = 0.005
-        #: Part of a prompt on which the endpoint crashes once it has sent the
-        #: head of a stream: all its connections close.
+        #: Part of a prompt on which the endpoint crashes as it begins to write
+        #: a stream.
         self.crashing_part = ''
+        #: What has left the endpoint before it crashes: 'nothing', 'head' or
+        #: 'event'.
+        self.crashes_after = 'head'
+        #: How long nothing listens after a crash, in seconds; 0 to close only
+        #: the connection of the request.
+        self.down_seconds = 0.0
         #: Crashes so far.
         self.crashes = 0
         #: Number of the event in which a stream is cut off, or 0.
@@ -85,9 +90,8 @@
         self.body_delay = 0.0
         #: Released for each stream whose client disconnected.
         self.disconnects = threading.Semaphore(0)
-        self._server: ThreadingHTTPServer = serve(
-            self.port, self._route, self._delay_body
-        )
+        self._is_closed = False
+        self._server = serve(self.port, self._route, self._delay_body)
 
     def record(self, **changes: Any) -> bytes:
         """Return the endpoint's record for the platform's store."""
@@ -110,6 +114,7 @@
 
     def close(self) -> None:
         """Stop serving."""
+        self._is_closed = True
         self._server.shutdown()
         self._server.server_close()
 
@@ -224,6 +229,10 @@
             handler.wfile.write(b'\x00\x01 no answer\r\n\r\n')
             request.drop()
             return
+        crashes = self._crashes_on(handler.headers.get('X-Prompt-Prefix', ''))
+        if crashes and self.crashes_after == 'nothing':
+            self._crash(request)
+            return
         is_framed = self.is_framed and fault != 'unframed_empty'
         handler.send_response(200)
         for name, text in self._make_headers(request, fault).items():
@@ -235,9 +244,9 @@
         if fault == 'unframed_empty':
             request.drop()
             return
-        if self._crashes_on(handler.headers.get('X-Prompt-Prefix', '')):
-            self.crashes += 1
-            request.drop()
+        if crashes and self.crashes_after == 'head':
+            handler.wfile.flush()
+            self._crash(request)
             return
         first = int(handler.headers.get('Last-Event-Id') or 0) + 1
         try:
@@ -254,6 +263,9 @@
                     self.on_cut()
                     request.drop()
                     return
+                if crashes:
+                    self._crash(request)
+                    return
             if is_framed:
                 handler.wfile.write(b'0\r\n\r\n')
             else:
@@ -262,6 +274,17 @@
             self.disconnects.release()
             request.drop()
 
+    def _crash(self, request: Request) -> None:
+        self.crashes += 1
+        request.drop()
+        if self.down_seconds:
+            self._server.crash()
+            threading.Timer(self.down_seconds, self._restart).start()
+
+    def _restart(self) -> None:
+        if not self._is_closed:
+            self._server = serve(self.port, self._route, self._delay_body)
+
     def _crashes_on(self, prompt: str) -> bool:
         parts = [part.partition(':')[0] for part in prompt.split(',')]
         return bool(self.crashing_part) and self.crashing_part in parts[:-1]
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -2,6 +2,7 @@
 
 import argparse
 import json
+import socket
 import threading
 import time
 import zlib
@@ -79,11 +80,46 @@
             return [dict(row) for row in self._rows]
 
 
+class EmulatedServer(ThreadingHTTPServer):
+    """Serves each connection in a thread, and may crash."""
+
+    request_queue_size = 1024
+    daemon_threads = True
+
+    def __init__(self, *arguments: Any) -> None:
+        """Create it without connections."""
+        self._open: set[Any] = set()
+        super().__init__(*arguments)
+
+    def process_request(self, request: Any, client_address: Any) -> None:
+        """Serve a connection."""
+        self._open.add(request)
+        super().process_request(request, client_address)
+
+    def shutdown_request(self, request: Any) -> None:
+        """Close a connection."""
+        self._open.discard(request)
+        super().shutdown_request(request)
+
+    def crash(self) -> None:
+        """Close the listener, then all connections, as a killed process."""
+        self.shutdown()
+        self.server_close()
+        for connection in tuple(self._open):
+            try:
+                connection.shutdown(socket.SHUT_RDWR)
+            except OSError:
+                continue
+
+    def handle_error(self, *arguments: object) -> None:
+        """Ignore errors of connections that clients close."""
+
+
 def serve(
     port: int,
     route: Callable[[Request], None],
     before_body: Callable[[], None] | None = None,
-) -> ThreadingHTTPServer:
+) -> EmulatedServer:
     """Start a server on loopback and return it.
 
     Each connection has a thread; `before_body` is called before the body of a
@@ -109,14 +145,7 @@
         def log_message(self, *arguments: object) -> None:
             """Write no access log."""
 
-    class Server(ThreadingHTTPServer):
-        request_queue_size = 1024
-        daemon_threads = True
-
-        def handle_error(self, *arguments: object) -> None:
-            """Ignore errors of connections that clients close."""
-
-    server = Server(('127.0.0.1', port), Handler)
+    server = EmulatedServer(('127.0.0.1', port), Handler)
     threading.Thread(
         target=server.serve_forever, args=(0.05,), daemon=True
     ).start()
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -33,6 +33,8 @@
 #: Requests with a crashing part that may reach endpoints after the fifth crash.
 ALLOWED_AFTER = 3
 CRASHING = 'deadly'
+#: How long an endpoint is away after a crash.
+DOWN_SECONDS = 0.4
 
 
 @pytest.fixture
@@ -58,6 +60,13 @@
     )
 
 
+def crash_processes(relay: RelayHarness, crashes_after: str) -> None:
+    """Make crashes end the endpoints' processes for some time."""
+    for replica in relay.replicas:
+        replica.crashes_after = crashes_after
+        replica.down_seconds = DOWN_SECONDS
+
+
 class TestCrashingPart:
     """A part on which endpoints crash soon reaches no endpoint."""
 
@@ -109,6 +118,90 @@
         assert send(relay, 'rules', CRASHING, 'other').is_finished
 
 
+class TestCrashWithoutTrace:
+    """The cause is found whatever left the endpoint before it crashed."""
+
+    # Guards against missing crashes before a head or after the first event.
+    @pytest.mark.parametrize('crashes_after', ['nothing', 'head', 'event'])
+    def test_later_requests_with_the_part_reach_no_endpoint(
+        self, relay: RelayHarness, crashes_after: str
+    ) -> None:
+        crash_processes(relay, crashes_after)
+        for number in range(8):
+            send(relay, 'rules', f'topic-{number}', CRASHING, f'own-{number}')
+            time.sleep(DOWN_SECONDS)
+        assert count_runs(relay, CRASHING) <= 5 + ALLOWED_AFTER
+
+    # Guards against refusing requests that were lost in the same crashes.
+    @pytest.mark.parametrize('crashes_after', ['nothing', 'head', 'event'])
+    def test_requests_with_all_other_parts_are_served(
+        self, relay: RelayHarness, crashes_after: str
+    ) -> None:
+        crash_processes(relay, crashes_after)
+        for number in range(6):
+            topic = f'topic-{number}'
+            send(relay, 'rules', topic, CRASHING, f'own-{number}')
+            assert send(relay, 'rules', topic, f'sound-{number}').is_finished
+
+    # Guards against blaming prompts for connections that were only cut.
+    def test_lost_connections_of_live_endpoints_block_nothing(
+        self, relay: RelayHarness
+    ) -> None:
+        for replica in relay.replicas:
+            replica.crashing_part = ''
+            replica.fault = 'close'
+            replica.faults_left = 1
+        for number in range(4):
+            send(relay, 'rules', 'topic', f'own-{number}')
+        assert send(relay, 'rules', 'topic', 'own').is_finished
+
+    # Guards against refusing the parts of one request that was repeated at
+    # endpoints that crash for another reason.
+    def test_one_repeated_request_blocks_nothing(
+        self, clock: list[float]
+    ) -> None:
+        entry = Entry(MemoryTopic())
+        for number in range(5):
+            entry.crash_indirectly(f'i-{number}', 'rules', 'topic', 'own')
+        assert not entry.refuses('rules', 'topic', 'own')
+
+    # Guards against refusing what waits beside the cause in each crash.
+    def test_only_the_part_of_all_crashes_is_blocked(
+        self, clock: list[float]
+    ) -> None:
+        entry = Entry(MemoryTopic())
+        for number in range(5):
+            name = f'i-{number}'
+            entry.crash_indirectly(name, 'deadly', f'own-{number}')
+            entry.crash_indirectly(name, f'topic-{number % 2}', f'x-{number}')
+        assert entry.refuses('deadly', 'x')
+        assert not entry.refuses('topic-0', 'x')
+        assert not entry.refuses('topic-1', 'x')
+
+    # Guards against entries that each need three crashes of their own.
+    def test_indirect_crashes_seen_by_different_entries_add_up(
+        self, clock: list[float]
+    ) -> None:
+        topic = MemoryTopic()
+        entries = [Entry(topic) for _ in range(3)]
+        for number, entry in enumerate(entries):
+            entry.crash_indirectly(f'i-{number}', 'deadly', f'x-{number}')
+            entry.write()
+        for entry in entries:
+            entry.read()
+        assert all(entry.refuses('deadly', 'y') for entry in entries)
+
+    def test_parts_with_responses_are_no_suspects(
+        self, clock: list[float]
+    ) -> None:
+        entry = Entry(MemoryTopic())
+        for number in range(4):
+            entry.quarantine.record_success(make_call('rules', 'topic', 'x'))
+            entry.crash_indirectly(f'i-{number}', 'rules', 'topic', f'{number}')
+        clock[0] += quarantine.SOUND_SECONDS
+        assert not entry.refuses('rules', 'topic', 'x')
+
+
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> list[float]:
     """Return the time that quarantines read."""
@@ -155,6 +248,12 @@
         """Record that an endpoint crashed on a prompt."""
         self.quarantine.record_crash(make_call(*parts), make_record(name))
 
+    def crash_indirectly(self, name: str, *parts: str) -> None:
+        """Record that an endpoint crashed with a prompt in flight."""
+        self.quarantine.record_indirect_crash(
+            make_call(*parts), make_record(name)
+        )
+
     def refuses(self, *parts: str) -> bool:
         """Return True if a request with these parts is refused."""
         try:
