Reject responses that broke off within their head or framing

Cause: http.client takes a connection's end for the end of a head, and reads a body until the connection ends if it can't parse the length or encoding. On a plain answer of 231 bytes, cut after 157 to 212 of them, passed as whole and empty; a stream of 368 bytes, cut after 157 to 226, likewise.

Change: interfaces/responses.py checks what http.client has read: the connection must not have ended within the head or the chunk framing, each line must be a header, and a stated length or encoding must be usable. A repeated id matches no request and two signatures are none, for a response that starts again within its head. The same connection now serves the store, the platform's services, the sidecar's endpoint and the command line; pages of the store must not end in a record.

--- a/src/toucancourse/command/client.py
+++ b/src/toucancourse/command/client.py
@@ -2,11 +2,12 @@
 
 import json
 from collections.abc import Mapping
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote
 
 from ..errors import CourseError, Outcome
+from ..interfaces.responses import CheckedConnection
 
 PATH_PREFIX: Final = '/admin/v1'
 REQUEST_TIMEOUT_SECONDS: Final = 90.0
@@ -138,7 +139,7 @@
         body: Mapping[str, Any] | None,
     ) -> ApiResponse:
         host, _, port = address.rpartition(':')
-        connection = HTTPConnection(
+        connection = CheckedConnection(
             host, int(port), timeout=REQUEST_TIMEOUT_SECONDS
         )
         payload = None if body is None else json.dumps(body)
--- a/src/toucancourse/delivery/endpoint.py
+++ b/src/toucancourse/delivery/endpoint.py
@@ -3,11 +3,12 @@
 import json
 import socket
 from collections.abc import Iterator
-from http.client import HTTPConnection, HTTPException, HTTPResponse
+from http.client import HTTPException, HTTPResponse
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlsplit
 
 from ..errors import EndpointError, UnavailableError, UnknownOutcomeError
+from ..interfaces.responses import CheckedConnection
 from ..protocol import peer_pb2
 
 MAX_READ_BYTES: Final = 65536
@@ -35,7 +36,7 @@
     def __init__(self, url: str, timeout: float) -> None:
         """Create a call; timeout is the socket timeout in seconds."""
         parts = urlsplit(url)
-        self._connection = HTTPConnection(
+        self._connection = CheckedConnection(
             parts.hostname or '', parts.port, timeout=timeout
         )
         self._response: HTTPResponse | None = None
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -5,12 +5,12 @@
 import threading
 import time
 from http.client import HTTPConnection, HTTPException, HTTPResponse
-from io import BufferedReader, RawIOBase
 from typing import Any, Final, NamedTuple, cast
 
 from loguru import logger
 
 from ..errors import CourseError, EndpointError, Outcome
+from ..interfaces.responses import CheckedResponse, SocketReader
 from .messages import Codec
 from .objects import (
     AttemptOptions,
@@ -68,7 +68,7 @@
     expires_at: float
 
 
-class _DeadlineReader(RawIOBase):
+class _DeadlineReader(SocketReader):
     """Reads a socket until a time, however its bytes are spread.
 
     A socket's own timeout starts anew with each byte.
@@ -76,15 +76,12 @@
 
     def __init__(self, sock: socket.socket, raw: socket.SocketIO) -> None:
         """Wrap the reader that http.client made of a socket."""
-        super().__init__()
+        super().__init__(raw)
         self._sock = sock
-        self._raw = raw
+        # The exchange sets the socket's timeout before it reads the head.
+        timeout = sock.gettimeout() or 0.0
         #: time.monotonic() from which reads raise TimeoutError.
-        self.until = 0.0
-
-    def readable(self) -> bool:
-        """Return True."""
-        return True
+        self.until = time.monotonic() + timeout
 
     def readinto(self, buffer: Any, /) -> int | None:
         """Read into a buffer and return the number of bytes.
@@ -95,26 +92,13 @@
         if remaining <= 0:
             raise TimeoutError
         self._sock.settimeout(remaining)
-        return self._raw.readinto(buffer)
+        return super().readinto(buffer)
 
-    def close(self) -> None:
-        """Release the socket."""
-        self._raw.close()
-        super().close()
 
-
-class _CheckedResponse(HTTPResponse):
+class _EndpointResponse(CheckedResponse):
     """Bounds the time of its reads and detects data after the response."""
 
-    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
-        """Create a response that is read from a socket."""
-        super().__init__(sock, *args, **kwargs)
-        raw = cast(socket.SocketIO, self.fp.detach())
-        self._raw = _DeadlineReader(sock, raw)
-        # The exchange sets the socket's timeout before it reads the head.
-        self._raw.until = time.monotonic() + (sock.gettimeout() or 0.0)
-        self._reader: BufferedReader = BufferedReader(self._raw)
-        self.fp = self._reader
+    _raw: _DeadlineReader
 
     def set_deadline(self, until: float) -> None:
         """Make reads fail from a time.monotonic() on."""
@@ -142,6 +126,12 @@
         self.fp = None  # type: ignore[assignment]
         self._reader.close()
 
+    def _wrap_socket(
+        self, sock: socket.socket, raw: socket.SocketIO
+    ) -> _DeadlineReader:
+        """Return a reader whose reads end at the deadline."""
+        return _DeadlineReader(sock, raw)
+
     def _close_conn(self) -> None:
         """Keep the reader open for has_trailing_data()."""
         self.fp = None  # type: ignore[assignment]
@@ -166,7 +156,7 @@
         self._sock: socket.socket = connection.sock
         self._codec = codec
         self._call = call
-        self._response: _CheckedResponse | None = None
+        self._response: _EndpointResponse | None = None
         self._cancelled = False
         self.is_complete = False
         self.head: ResponseHead | None = None
@@ -289,8 +279,6 @@
             ) from error
         if content:
             return content
-        if response.length:
-            raise ConnectionLostError('the response is shorter than its length')
         if self._cancelled:
             raise EndpointError('the request was cancelled')
         self.is_complete = True
@@ -339,12 +327,12 @@
 
     def _make_response(
         self, sock: socket.socket, *args: Any, **kwargs: Any
-    ) -> _CheckedResponse:
+    ) -> _EndpointResponse:
         """Return the response that getresponse() reads.
 
         It refers to the socket also if reading its head fails.
         """
-        self._response = _CheckedResponse(sock, *args, **kwargs)
+        self._response = _EndpointResponse(sock, *args, **kwargs)
         return self._response
 
     def _set_timeout(self, until: float) -> None:
--- a/src/toucancourse/interfaces/calls.py
+++ b/src/toucancourse/interfaces/calls.py
@@ -2,11 +2,12 @@
 
 import json
 from http import HTTPStatus
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from typing import Any, NamedTuple
 from urllib.parse import urlsplit
 
 from ..errors import CourseError, UnavailableError
+from .responses import CheckedConnection
 
 
 class PlatformDownError(UnavailableError):
@@ -79,7 +80,7 @@
         if url_parts.query
         else url_parts.path
     )
-    connection = HTTPConnection(
+    connection = CheckedConnection(
         url_parts.hostname or '', url_parts.port, timeout=timeout
     )
     try:
--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -91,8 +91,9 @@
         return ResponseHead(
             status=status,
             headers=_remove_headers(headers, fields),
-            call=fields.get(names.ATTEMPT_ID.lower(), ''),
-            is_signed=names.SIGNATURE.lower() in fields,
+            # A response that broke off and began anew has these twice.
+            call=','.join(_list_values(headers, names.ATTEMPT_ID)),
+            is_signed=len(_list_values(headers, names.SIGNATURE)) == 1,
             not_run=not_run,
             misdirected=status == HTTPStatus.MISDIRECTED_REQUEST,
             retry_after=_decode_retry_after(fields.get('retry-after', '')),
@@ -109,6 +110,11 @@
         )
 
 
+def _list_values(headers: Headers, name: str) -> list[str]:
+    """Return the values of all headers with a name."""
+    return [text for each, text in headers if each.lower() == name.lower()]
+
+
 def _decode_length(fields: Mapping[str, str], max_tokens: str) -> int:
     """Return the expected output tokens, or else the allowed maximum."""
     return int(fields.get(names.LENGTH_HINT.lower()) or max_tokens or 0)
--- a/src/toucancourse/platform/store.py
+++ b/src/toucancourse/platform/store.py
@@ -5,11 +5,12 @@
 import struct
 import threading
 from http import HTTPStatus
-from http.client import HTTPConnection, HTTPException
+from http.client import HTTPException
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
 from ..errors import DECODE_ERRORS, LogDownError
+from ..interfaces.responses import CheckedConnection
 from ..membership.topics import ExpiredError, Record, Records, Topic
 
 #: Timeout of a call, added to the wait of a long poll. A call usually takes
@@ -40,7 +41,7 @@
         self._port = int(port)
         self._topic = topic
         self._lock = threading.Lock()
-        self._connection: HTTPConnection | None = None
+        self._connection: CheckedConnection | None = None
 
     def fetch_newest(self) -> Records:
         """Return the newest record of each key, read page by page.
@@ -140,10 +141,10 @@
                     f'call for topic "{self._topic}" failed: {error!r}'
                 ) from error
 
-    def _get_connection(self, timeout: float) -> HTTPConnection:
+    def _get_connection(self, timeout: float) -> CheckedConnection:
         """Return the open or a new connection, with a timeout in seconds."""
         if self._connection is None:
-            self._connection = HTTPConnection(self._host, self._port)
+            self._connection = CheckedConnection(self._host, self._port)
         self._connection.timeout = timeout
         if self._connection.sock is not None:
             self._connection.sock.settimeout(timeout)
@@ -164,6 +165,8 @@
         length = RECORD_LENGTH.unpack_from(body, position)[0]
         position += RECORD_LENGTH.size
         record = body[position : position + length]
+        if len(record) < length:
+            raise struct.error(f'{len(record)} of {length} bytes of a record')
         position += length
         records.append(_decode_record(record, offset))
         offset += 1
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -4,12 +4,15 @@
 import threading
 import time
 from collections.abc import Callable
+from io import BytesIO
 from typing import Any
 
 from .calls import find_port
 from .serving import Journal, Request, serve
 
 SIGNATURE = 'test-signature'
+#: More than any response here has.
+MAX_RESPONSE_BYTES = 1_000_000
 EVENT_STREAM_HEAD = b'Content-Type: text/event-stream\r\n\r\n'
 #: Fault -> bytes after the first headers, bytes that are repeated without end,
 #: and the pause between them in seconds.
@@ -22,6 +25,31 @@
 }
 
 
+class _BreakingWriter(BytesIO):
+    """Passes on the first bytes of a response, then breaks it off."""
+
+    def __init__(self, output: Any, size: int, restarts: bool) -> None:
+        """Break off after so many bytes, or write all again from there."""
+        super().__init__()
+        self._output = output
+        self._left = size
+        self._restarts = restarts
+
+    def write(self, content: Any, /) -> int:
+        """Pass bytes on; raises ConnectionAbortedError once broken off."""
+        super().write(content)
+        self._output.write(content[: self._left])
+        self._output.flush()
+        is_broken = len(content) > self._left
+        self._left = max(0, self._left - len(content))
+        if is_broken and self._restarts:
+            self._left = len(content) + MAX_RESPONSE_BYTES
+            self._output.write(self.getvalue())
+        elif is_broken:
+            raise ConnectionAbortedError('broken off')
+        return len(content)
+
+
 class Replica:
     """An endpoint that executes requests or fails as a test configures."""
 
@@ -45,6 +73,10 @@
         #: 'unsigned' - response without the signature header,
         #: 'crossed' - response with the id of another attempt,
         #: 'close' - connection closed without a response,
+        #: 'break_off' - connection closed after break_off_at bytes,
+        #: 'restart' - broken off there, and written again from its start,
+        #: 'break_off' - connection closed after break_off_at bytes,
+        #: 'restart' - broken off there, and written again from its start,
         #: 'repeat' - an earlier refusal before the response,
         #: 'repeat_unnamed' - the same without the attempt's id,
         #: 'drip_head' - a header line that never ends, byte by byte,
@@ -55,6 +87,12 @@
         self.fault = ''
         #: Number of requests that the fault still applies to; -1 for all.
         self.faults_left = -1
+        #: Bytes of a response that leave the endpoint before it breaks off.
+        self.break_off_at = 0
+        #: Headers that replace the body's length.
+        self.framing: dict[str, str] = {}
+        #: Bytes of a response that leave the endpoint before it breaks off.
+        self.break_off_at = 0
         #: Value of the routing confidence header; None for no header.
         self.confidence: int | None = None
         #: Confidence by model; takes precedence over `confidence`.
@@ -142,6 +180,14 @@
             body=request.body,
             headers=dict(headers.items()),
         )
+        if fault in {'break_off', 'restart'}:
+            request.handler.wfile = _BreakingWriter(
+                request.handler.wfile, self.break_off_at, fault
+            )
+        if fault in {'break_off', 'restart'}:
+            request.handler.wfile = _BreakingWriter(
+                request.handler.wfile, self.break_off_at, fault == 'restart'
+            )
         if fault in ENDLESS:
             self._send_forever(request, *ENDLESS[fault])
         elif fault in {'silent', 'close'}:
