Bound the memory of all responses together

Callers saw: a replica that sends bytes without end took the entry that had called it over its memory limit; the requests of other callers ended with the process (LOST).

Cause: each body was bounded at 16 MiB and each event at 4 MiB, their sum was not. With 30 endless responses an entry grew to 602 MB (bodies) and 263 MB (events) on, the same in both halves of the time.

Change: responses share a tenth of the memory limit; each may hold what is still free, at least 64 KiB, so endless ones take room from each other. Bytes are kept in pieces, since growing blocks stay with the allocator. Bodies are written to callers in parts that wait for the caller to read.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -13,6 +13,7 @@
 from ..admission.limits import WindowBudget
 from ..errors import CourseError
 from ..forwarding.admission import MAX_PROOF_AGE_SHARE, Admission
+from ..forwarding.buffers import ResponseBuffers
 from ..forwarding.connections import ConnectionPool
 from ..forwarding.context import RelayContext
 from ..forwarding.endpoints import Endpoint, EndpointRegistry
@@ -46,6 +47,9 @@
 #: Memory of one request's thread and buffers.
 MEMORY_PER_REQUEST_MB: Final = 0.3
 MAX_REQUEST_THREADS: Final = 600
+#: Share of the memory for the bodies of responses.
+RESPONSE_MEMORY_SHARE: Final = 0.1
+BYTES_PER_MB: Final = 1_048_576
 #: Largest header and body of a caller's request.
 MAX_HEADER_BYTES: Final = 65_536
 MAX_BODY_BYTES: Final = 4_194_304
@@ -111,7 +115,12 @@
         self._settings = settings
         decoder = PlatformDecoder()
         codec = PlatformCodec()
-        self._connections = ConnectionPool(codec)
+        self._connections = ConnectionPool(
+            codec,
+            ResponseBuffers(
+                int(settings.memory_mb * RESPONSE_MEMORY_SHARE * BYTES_PER_MB)
+            ),
+        )
         self._endpoints = EndpointRegistry(decoder, self._close_connections)
         self._operators = OperatorConfig(
             decoder, self._endpoints.presume_zone_cold
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -11,6 +11,7 @@
 
 from ..errors import CourseError, EndpointError, Outcome
 from ..interfaces.responses import CheckedResponse, SocketReader
+from .buffers import PieceBuffer, ResponseBuffers
 from .messages import Codec
 from .objects import (
     AttemptOptions,
@@ -31,10 +32,7 @@
 #: Keep-alive timeout assumed for endpoints that state none.
 DEFAULT_IDLE_SECONDS: Final = 3.0
 MAX_IDLE_PER_ENDPOINT: Final = 24
-READ_BYTES: Final = 65_536
-#: Largest response body that is held in memory; a faulty endpoint may send
-#: bytes until its connection is closed.
-MAX_BODY_BYTES: Final = 16_777_216
+READ_BYTES: Final = 16_384
 MS_PER_SECOND: Final = 1000.0
 #: Sent data that stays unacknowledged this long closes the connection.
 TCP_USER_TIMEOUT_MS: Final = 3000
@@ -145,6 +143,7 @@
         connection: HTTPConnection,
         codec: Codec,
         call: Call,
+        buffers: ResponseBuffers,
         *,
         is_reused: bool,
     ) -> None:
@@ -156,6 +155,9 @@
         self._sock: socket.socket = connection.sock
         self._codec = codec
         self._call = call
+        self._buffers = buffers
+        #: Bytes of the response that are held in memory.
+        self._held = 0
         self._response: _EndpointResponse | None = None
         self._cancelled = False
         self.is_complete = False
@@ -248,17 +250,21 @@
 
         Raises SilentError or EndpointError.
         """
-        chunks: list[bytes] = []
-        size = 0
-        while size <= MAX_BODY_BYTES:
+        body = PieceBuffer()
+        while True:
             chunk = self.read_chunk(until)
             if not chunk:
-                return b''.join(chunks)
-            size += len(chunk)
-            chunks.append(chunk)
-        raise EndpointError(
-            f'the response is longer than {MAX_BODY_BYTES} bytes'
-        )
+                return body.pop_all()
+            body.add(chunk)
+            self.hold(body.size)
+
+    def hold(self, size: int) -> None:
+        """Count the bytes of the response that are held until its end.
+
+        Raises EndpointError if there is no memory for so many.
+        """
+        self._buffers.resize(self._held, size)
+        self._held = size
 
     def read_chunk(self, until: float) -> bytes:
         """Return the next bytes of the body, or b'' at its end.
@@ -307,6 +313,7 @@
 
     def close(self) -> None:
         """Close the connection."""
+        self.hold(0)
         response = self._response
         if response is not None:
             response.abandon()
@@ -314,6 +321,7 @@
 
     def release(self) -> HTTPConnection | None:
         """Return the connection if it is reusable, or else close it."""
+        self.hold(0)
         response = self._response
         is_reusable = self.is_complete and not self._cancelled
         if response is None or not is_reusable:
@@ -345,9 +353,12 @@
 class ConnectionPool:
     """Idle connections to endpoints; may be used by several threads."""
 
-    def __init__(self, codec: Codec) -> None:
-        """Create an empty pool."""
+    def __init__(
+        self, codec: Codec, buffers: ResponseBuffers | None = None
+    ) -> None:
+        """Create an empty pool; buffers bound the responses in memory."""
         self._codec = codec
+        self._buffers = buffers or ResponseBuffers()
         self._lock = threading.Lock()
         self._idle: dict[tuple[str, int], list[_IdleConnection]] = {}
         #: Exchanges on new connections and on reused ones so far.
@@ -366,7 +377,9 @@
             self.opened += 1
         else:
             self.reused += 1
-        return Exchange(connection, self._codec, call, is_reused=is_reused)
+        return Exchange(
+            connection, self._codec, call, self._buffers, is_reused=is_reused
+        )
 
     def return_connection(
         self, record: EndpointRecord, exchange: Exchange
--- a/src/toucancourse/forwarding/events.py
+++ b/src/toucancourse/forwarding/events.py
@@ -3,6 +3,7 @@
 from typing import Final, NamedTuple
 
 from ..errors import EndpointError
+from .buffers import PieceBuffer
 
 EVENT_END: Final = b'\n\n'
 ID_FIELD: Final = b'id:'
@@ -24,27 +25,35 @@
 
     def __init__(self) -> None:
         """Create a splitter for a new stream."""
-        self._buffer = b''
+        self._partial = PieceBuffer()
 
     def add(self, content: bytes) -> CompleteEvents:
         """Add received bytes and return the events that are now complete.
 
         Raises EndpointError if an incomplete event is too long.
         """
-        complete, end, partial = (self._buffer + content).rpartition(EVENT_END)
-        if len(partial) > MAX_EVENT_BYTES:
-            raise EndpointError(
-                f'an event is longer than {MAX_EVENT_BYTES} bytes'
-            )
-        self._buffer = partial
+        if EVENT_END not in self._partial.find_last_byte() + content:
+            self._keep(content)
+            return CompleteEvents(b'', 0, '')
+        received = self._partial.pop_all() + content
+        complete, end, partial = received.rpartition(EVENT_END)
+        self._keep(partial)
         content = complete + end
         return CompleteEvents(
             content, content.count(EVENT_END), _find_last_id(complete)
         )
 
-    def has_partial_event(self) -> bool:
-        """Return True if the buffer holds an incomplete event."""
-        return bool(self._buffer)
+    def count_buffered(self) -> int:
+        """Return the number of bytes of the incomplete event."""
+        return self._partial.size
+
+    def _keep(self, partial: bytes) -> None:
+        if self._partial.size + len(partial) > MAX_EVENT_BYTES:
+            raise EndpointError(
+                f'an event is longer than {MAX_EVENT_BYTES} bytes'
+            )
+        if partial:
+            self._partial.add(partial)
 
 
 def _find_last_id(complete: bytes) -> str:
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -413,6 +413,7 @@
             if not content:
                 break
             events = event_splitter.add(content)
+            exchange.hold(event_splitter.count_buffered())
             if events.content:
                 now = time.monotonic()
                 if self._has_started:
@@ -426,7 +427,7 @@
                 endpoint.record_progress()
                 self._write_events(attempt, head, events.content)
                 self._last_event = events.last_id or self._last_event
-        if event_splitter.has_partial_event() or not self._has_started:
+        if event_splitter.count_buffered() or not self._has_started:
             raise ConnectionLostError('the stream ended within an event')
         if exchange.ends_with_connection() and not attempt.progress.events:
             raise ConnectionLostError('the resumed stream has no event')
--- a/src/toucancourse/ingress/channels.py
+++ b/src/toucancourse/ingress/channels.py
@@ -16,6 +16,8 @@
 from ..web.messages import make_error_response
 
 CLOSE: Final = 'close'
+#: Bytes of a body that are passed to waitress at once.
+WRITE_BYTES: Final = 65_536
 
 
 class StrictParser(HTTPRequestParser):
@@ -46,7 +48,11 @@
     def send(self, status: int, headers: Headers, body: bytes) -> None:
         """Send a complete response."""
         length = ('Content-Length', str(len(body)))
-        self._write(self._make_head(status, (*headers, length)) + body)
+        head = self._make_head(status, (*headers, length))
+        self._write(head + body[:WRITE_BYTES])
+        # Each further write waits until the caller has read enough.
+        for start in range(WRITE_BYTES, len(body), WRITE_BYTES):
+            self._write(body[start : start + WRITE_BYTES])
 
     def begin(self, status: int, headers: Headers) -> None:
         """Send the head of a chunked response."""
--- a/tests/test_faulty_endpoints.py
+++ b/tests/test_faulty_endpoints.py
@@ -6,7 +6,8 @@
 
 import pytest
 
-from toucancourse.errors import Outcome
+from toucancourse.errors import EndpointError, Outcome
+from toucancourse.forwarding.buffers import GUARANTEED_BYTES, ResponseBuffers
 
 from .forwarding import RelayHarness
 
@@ -67,6 +68,36 @@
         assert len(relay.runs()) == 1
 
 
+class TestResponseBuffers:
+    """The memory of responses is shared, and given back at their end."""
+
+    # Guards against sound responses that find no memory left.
+    def test_sound_responses_are_served_beside_them(self) -> None:
+        buffers = ResponseBuffers(4 * GUARANTEED_BYTES)
+        held = [0] * 40
+        for _ in range(50):
+            for number, size in enumerate(held):
+                try:
+                    buffers.resize(size, size + 8192)
+                except EndpointError:
+                    buffers.resize(size, 0)
+                    held[number] = 0
+                else:
+                    held[number] += 8192
+        assert buffers.used == sum(held)
+        buffers.resize(0, GUARANTEED_BYTES)
+
+    # Guards against memory that responses keep after their end.
+    def test_memory_is_released(self, relay: RelayHarness) -> None:
+        buffers = ResponseBuffers()
+        relay.connections._buffers = buffers
+        for fault in ('', 'endless_body', 'cut', 'error', 'silent'):
+            relay.replicas[0].fault = fault
+            relay.send('/look/x')
+            relay.send('/draft/x')
+        assert buffers.used == 0
+
+
 class TestBytesWithoutEnd:
     """Bytes that are no response end with the request's time."""
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -23,6 +23,14 @@
 
 #: Longest long poll of the operators' topic.
 OPERATOR_POLL_SECONDS = 1.3
+#: Endless responses at the same time.
+ENDLESS = 30
+#: Smallest memory limit of an entry in a deployment.
+MEMORY_LIMIT_MB = 232.0
+#: Share of it by which memory may still grow after the first period.
+FLAT_SHARE = 0.1
+#: Length of each of the two periods in which memory is measured.
+MEASURED_SECONDS = 3.0
 _hosts = itertools.count(2)
 
 
@@ -251,6 +259,65 @@
         wait_until(fleet.is_ready, 5, 'readiness')
 
 
+class TestMemory:
+    """Memory stays flat however many responses have no end."""
+
+    # Guards against a process that exceeds its memory and takes the requests
+    # of other callers with it.
+    @pytest.mark.parametrize(
+        ('fault', 'path'),
+        [
+            ('endless_body', '/look/x'),
+            ('endless_event', '/draft/x'),
+            ('endless_head', '/look/x'),
+        ],
+    )
+    def test_endless_responses_are_bounded_in_sum(
+        self, fleet: Fleet, fault: str, path: str
+    ) -> None:
+        fleet.send('/look/x')
+        for replica in fleet.replicas:
+            replica.fault = fault
+        stop = threading.Event()
+
+        def send() -> None:
+            while not stop.is_set():
+                fleet.send(path)
+
+        threads = [threading.Thread(target=send) for _ in range(ENDLESS)]
+        for thread in threads:
+            thread.start()
+        early = find_highest_mb(fleet)
+        late = find_highest_mb(fleet)
+        stop.set()
+        for thread in threads:
+            thread.join()
+        assert max(early, late) < MEMORY_LIMIT_MB
+        assert late < early + FLAT_SHARE * MEMORY_LIMIT_MB
+
+
+def find_highest_mb(fleet: Fleet) -> float:
+    """Return the highest resident memory of the entry within some time."""
+    end = time.monotonic() + MEASURED_SECONDS
+    highest = 0.0
+    while time.monotonic() < end:
+        time.sleep(0.01)
+        highest = max(highest, measure_mb(fleet))
+    return highest
+
+
+def measure_mb(fleet: Fleet) -> float:
+    """Return the resident memory of the entry in MB."""
+    assert fleet.node.process is not None
+    path = Path(f'/proc/{fleet.node.process.pid}/status')
+    line = next(
+        line
+        for line in path.read_text().splitlines()
+        if line.startswith('VmRSS')
+    )
+    return int(line.split()[1]) / 1024
+
+
 class TestShutdown:
     """After SIGTERM, requests are completed within the grace period."""
 
