Answer requests before a planned stop ends them

Callers saw: requests in flight, and some that came late in the grace period on kept connections, ended without an answer as the process exited, among them unsafe ones (LOST).

Cause: nothing told a request how much of the grace period was left, and the process exited with requests running.

Change: a request whose response is predicted to need more than what remains is refused with 503 before it is sent; endpoints get no more time than that. 0.3 s before the exit, running attempts are cancelled and their callers get 502 instance_stopped, or 503 if nothing was sent. This works since each request thread ends with an answer, and the drain waits until that is written.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -26,6 +26,7 @@
 from ..forwarding.rollouts import RolloutController, Rollouts
 from ..forwarding.selection import COLD_RATE_SHARE, EndpointSelector
 from ..forwarding.shifts import ShiftRegistry
+from ..forwarding.shutdown import Shutdown
 from ..forwarding.tables import OperatorConfig
 from ..ingress.server import IngressLimits, IngressServer
 from ..membership.feeds import Feed, PollTiming
@@ -102,6 +103,9 @@
 #: Part of the grace period that is reserved for the removal of the registration
 #: and the exit of the process.
 EXIT_MARGIN_SECONDS: Final = 0.8
+#: Time before that at which requests that still run are ended, so that their
+#: callers get an answer.
+ANSWER_MARGIN_SECONDS: Final = 0.3
 #: Share of the retry budget that is used. Others that count retries may see
 #: slightly different arrivals than this entry.
 RETRY_BUDGET_SHARE: Final = 0.85
@@ -165,6 +169,7 @@
         self._budgets: dict[str, WindowBudget] = defaultdict(self._make_budget)
         self._draining = threading.Event()
         self._stopped = threading.Event()
+        self._shutdown = Shutdown()
         outliers = Outliers()
         prefill = PrefillEstimator()
         selector = EndpointSelector(
@@ -191,6 +196,7 @@
                 find_fleet_share=self._entries.find_fleet_share,
                 find_proof_age=self._operator_feed.proof_age,
                 revocation_seconds=settings.revocation,
+                shutdown=self._shutdown,
             )
         )
         self._build_servers()
@@ -244,15 +250,17 @@
         Returns at the latest when the grace period is nearly over.
         """
         started = time.monotonic()
+        deadline = started + self._settings.grace - EXIT_MARGIN_SECONDS
+        self._shutdown.begin(deadline - ANSWER_MARGIN_SECONDS)
         self._draining.set()
         self._ingress.is_draining = True
-        deadline = started + self._settings.grace - EXIT_MARGIN_SECONDS
         logger.info('draining', running=self._ingress.count_running())
         time.sleep(BALANCER_NOTICE_SECONDS)
         self._ingress.close_idle()
         while time.monotonic() < deadline and self._ingress.count_running():
             time.sleep(DRAIN_POLL_SECONDS)
             self._ingress.close_idle()
+            self._end_requests()
         # Until here, this entry used its share of the fleet's limits.
         removal = _start_thread(self._deregister)
         removal.join(EXIT_MARGIN_SECONDS / 2)
@@ -263,6 +271,14 @@
             running=self._ingress.count_running(),
         )
 
+    def _end_requests(self) -> None:
+        """Let the callers of requests that still run know that they end."""
+        if self._shutdown.find_remaining() > 0:
+            return
+        cancelled = self._connections.cancel_all()
+        if cancelled:
+            logger.warning('requests ended by the shutdown', running=cancelled)
+
     def _build_feeds(self) -> None:
         store = self._settings.store
         self._topics = {
--- a/src/toucancourse/errors.py
+++ b/src/toucancourse/errors.py
@@ -169,6 +169,12 @@
     outcome = Outcome.unknown
 
 
+class StoppedError(EndpointError):
+    """The daemon stopped before the endpoint responded."""
+
+    code = 'instance_stopped'
+
+
 class LateEndpointError(EndpointError):
     """The endpoint received the request and didn't respond in time."""
 
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -361,6 +361,8 @@
         self._buffers = buffers or ResponseBuffers()
         self._lock = threading.Lock()
         self._idle: dict[tuple[str, int], list[_IdleConnection]] = {}
+        #: Exchanges that have not ended.
+        self._open: set[Exchange] = set()
         #: Exchanges on new connections and on reused ones so far.
         self.opened = 0
         self.reused = 0
@@ -377,14 +379,28 @@
             self.opened += 1
         else:
             self.reused += 1
-        return Exchange(
+        exchange = Exchange(
             connection, self._codec, call, self._buffers, is_reused=is_reused
         )
+        self._open.add(exchange)
+        return exchange
+
+    def cancel_all(self) -> int:
+        """Cancel all exchanges that have not ended; return their number."""
+        running = [
+            exchange
+            for exchange in tuple(self._open)
+            if not exchange.is_cancelled()
+        ]
+        for exchange in running:
+            exchange.cancel()
+        return len(running)
 
     def return_connection(
         self, record: EndpointRecord, exchange: Exchange
     ) -> None:
-        """Put the connection of an exchange back if it is reusable."""
+        """End an exchange and put its connection back if it is reusable."""
+        self._open.discard(exchange)
         connection = exchange.release()
         if connection is None:
             return
--- a/src/toucancourse/forwarding/context.py
+++ b/src/toucancourse/forwarding/context.py
@@ -13,6 +13,7 @@
 from .prefill import PrefillEstimator
 from .quarantine import Quarantine
 from .rollouts import Rollouts
+from .shutdown import Shutdown
 
 
 class RelayContext(NamedTuple):
@@ -35,3 +36,4 @@
     find_proof_age: Callable[[], float]
     #: Time within which a withdrawn API key must be refused.
     revocation_seconds: float
+    shutdown: Shutdown
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -43,6 +43,9 @@
 RESPONSE_MARGIN_SECONDS: Final = 0.02
 #: Remaining time below which no attempt is started.
 MIN_REMAINING_SECONDS: Final = 0.03
+#: How many times the mean response time is needed for a request that arrives
+#: during a shutdown.
+NEEDED_RESPONSE_TIMES: Final = 2.0
 
 
 class RejectedError(UnavailableError):
@@ -199,6 +202,10 @@
             self._call, admitted, model, self._tried, self._failed
         )
         self._next_choice = None
+        if not self._has_started:
+            self._context.shutdown.check(
+                _predict_seconds(self._context, admitted, choice, model)
+            )
         self._record_service(choice.service)
         attempt = self._start_attempt(admitted, choice, model)
         in_flight_request = choice.endpoint.backlog.add_request(
@@ -255,7 +262,10 @@
         options = AttemptOptions(
             identifier=record.identifier,
             account=admitted.account.name,
-            seconds_left=self._call.deadline - now,
+            seconds_left=min(
+                self._call.deadline - now,
+                self._context.shutdown.find_remaining(),
+            ),
             model=model,
             rank=choice.rank,
             last_event=self._last_event,
@@ -552,6 +562,7 @@
         if self._has_started:
             self._response.abort()
             raise EndpointError(f'the stream was interrupted: {error.text}')
+        error = self._context.shutdown.explain(error, self._executions)
         if isinstance(error, SilentError) and self._is_late():
             raise LateEndpointError(
                 f'no response before the deadline: {error.text}'
@@ -563,7 +574,11 @@
         raise error
 
     def _is_late(self) -> bool:
-        return time.monotonic() + MIN_REMAINING_SECONDS >= self._cutoff
+        remaining = min(
+            self._cutoff - time.monotonic(),
+            self._context.shutdown.find_remaining(),
+        )
+        return remaining <= MIN_REMAINING_SECONDS
 
     def _record_failure(self, attempt: Attempt, error: CourseError) -> None:
         if error.outcome is not Outcome.not_run and not self._has_started:
@@ -571,3 +586,16 @@
         self._recorder.record_failure(
             self._call, attempt, error, has_started=self._has_started
         )
+
+
+def _predict_seconds(
+    context: RelayContext,
+    admitted: AdmittedRequest,
+    choice: EndpointChoice,
+    model: str,
+) -> float:
+    """Return the seconds that most responses like this one need at most."""
+    mean_seconds = context.metrics.find_mean_seconds(
+        (admitted.route.name, model)
+    )
+    return NEEDED_RESPONSE_TIMES * mean_seconds + choice.scored.stream_seconds
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -124,6 +124,10 @@
         self.crashes = 0
         #: Number of the event in which a stream is cut off, or 0.
         self.cut_at = 0
+        #: Delay before each response that is no stream, in seconds.
+        self.work_seconds = 0.0
+        #: Length of the body of these responses; 0 for a short one.
+        self.body_bytes = 0
         #: Delay before a request's body is read, in seconds.
         self.body_delay = 0.0
         #: Released for each stream whose client disconnected.
@@ -235,7 +239,9 @@
         return self.fault
 
     def _respond(self, request: Request, fault: str) -> None:
+        time.sleep(self.work_seconds)
         body = f'answer of {self.identifier}'.encode()
+        body = body.ljust(self.body_bytes, b'.')
         if fault == 'error':
             self._send(
                 request, 500, self._make_headers(request, fault), b'failed'
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -27,6 +27,7 @@
 from toucancourse.forwarding.rollouts import Rollouts
 from toucancourse.forwarding.selection import EndpointSelector
 from toucancourse.forwarding.shifts import ShiftRegistry
+from toucancourse.forwarding.shutdown import Shutdown
 from toucancourse.forwarding.tables import OperatorConfig
 from toucancourse.membership.startup import StartupBarrier
 from toucancourse.membership.topics import Record, Records, Topic
@@ -129,6 +130,7 @@
         decoder = PlatformDecoder()
         codec = PlatformCodec()
         self.proof_age = 0.0
+        self.shutdown = Shutdown()
         self.operators = OperatorConfig(decoder)
         #: Endpoints that the registry removed.
         self.removed: list[Endpoint] = []
@@ -166,6 +168,7 @@
                 find_fleet_share=lambda: 1.0,
                 find_proof_age=lambda: self.proof_age,
                 revocation_seconds=5,
+                shutdown=self.shutdown,
             )
         )
         self.replicas = [Replica(f'i-{number}') for number in range(replicas)]
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,6 +1,7 @@
 """Tests of the platform entry as a process: start, drain, outage, limits."""
 
 import itertools
+import json
 import os
 import signal
 import socket
@@ -76,14 +77,26 @@
         except (OSError, HTTPException):
             return False
 
-    def send(self, path: str, method: str = 'POST', key: str = KEY) -> Response:
-        """Return the response to a request on a new connection."""
-        headers = {
+    def make_headers(
+        self, deadline_ms: int = 4000, key: str = KEY
+    ) -> dict[str, str]:
+        """Return the headers of a request."""
+        return {
             'Host': HOST,
             'X-Attempt-Id': os.urandom(8).hex(),
             'X-Key': key,
-            'X-Deadline-Ms': '4000',
+            'X-Deadline-Ms': str(deadline_ms),
         }
+
+    def send(
+        self,
+        path: str,
+        method: str = 'POST',
+        key: str = KEY,
+        deadline_ms: int = 4000,
+    ) -> Response:
+        """Return the response to a request on a new connection."""
+        headers = self.make_headers(deadline_ms, key)
         if path.startswith('/draft'):
             headers['Accept'] = 'text/event-stream'
         address = f'{self.host}:{self.port}'
@@ -259,6 +272,17 @@
         wait_until(fleet.is_ready, 5, 'readiness')
 
 
+def allow_seconds(fleet: Fleet, seconds: int) -> None:
+    """Publish a configuration whose routes allow so much time."""
+    config = json.loads(make_operator_config(2))
+    for route in config['routes']:
+        route['timeoutMs'] = seconds * 1000
+    fleet.store.put('keyed.op', 'config', json.dumps(config).encode())
+    wait_until(
+        lambda: '"revision": 2' in fleet.log.read_text(), 5, 'configuration'
+    )
+
+
 class TestMemory:
     """Memory stays flat however many responses have no end."""
 
@@ -349,6 +373,44 @@
             assert answer.headers['connection'] == 'close'
             time.sleep(0.3)
 
+    # Guards against a request that is cut off without an answer.
+    def test_request_that_outlasts_the_grace_period_gets_an_answer(
+        self, fleet: Fleet
+    ) -> None:
+        allow_seconds(fleet, 20)
+        for replica in fleet.replicas:
+            replica.work_seconds = 12
+        answers: list[Response] = []
+        thread = threading.Thread(
+            target=lambda: answers.append(
+                fleet.send('/book/x', deadline_ms=20000)
+            )
+        )
+        thread.start()
+        time.sleep(0.3)
+        assert fleet.node.stop(10) == 0
+        thread.join(2)
+        assert [answer.status for answer in answers] == [502]
+        assert 'requests ended by the shutdown' in fleet.log.read_text()
+
+    # Guards against passing on what can't be answered before the end.
+    def test_request_that_needs_more_than_the_rest_is_refused(
+        self, fleet: Fleet
+    ) -> None:
+        allow_seconds(fleet, 20)
+        for replica in fleet.replicas:
+            replica.work_seconds = 4.0
+        assert fleet.send('/book/x', deadline_ms=20000).status == 200
+        kept = HTTPConnection(fleet.host, fleet.port, timeout=8)
+        kept.connect()
+        fleet.node.send_signal(signal.SIGTERM)
+        time.sleep(1.5)
+        started = time.monotonic()
+        kept.request('POST', '/book/x', b'{}', fleet.make_headers(20000))
+        assert kept.getresponse().status == 503
+        assert time.monotonic() - started < 0.5
+        assert sum(len(replica.runs()) for replica in fleet.replicas) == 1
+
     def test_registration_is_removed(self, fleet: Fleet) -> None:
         wait_until(
             lambda: 'entry/entry-1' in fleet.store.newest('keyed.status'),
