Keep connections open until callers have read their responses

Cause: a connection without an unanswered request counted as idle, also with unsent output.

Change: unsent output keeps a connection busy, for the idle check and for the drain.

Measured: test_answer_that_is_being_read_is_not_cut got 3,879,192 of 4,000,000 bytes on and gets all now.

--- a/src/toucancourse/ingress/channels.py
+++ b/src/toucancourse/ingress/channels.py
@@ -197,6 +197,14 @@
         super().handle_close()
         self._notify_disconnect()
 
+    def is_busy(self) -> bool:
+        """Return True while a request is received, served or answered."""
+        return (
+            bool(self.requests)
+            or self.request is not None
+            or (self.connected and self.total_outbufs_len > 0)
+        )
+
     def readable(self) -> bool:
         """Return True if there may be input from a connected caller."""
         return self.connected and super().readable()
--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -131,8 +131,7 @@
         for channel in tuple(self.active_channels.values()):
             if not channel.last_used:
                 channel.last_used = time.monotonic()
-            is_idle = not channel.requests and channel.request is None
-            if is_idle and channel.last_used < used_before:
+            if not channel.is_busy() and channel.last_used < used_before:
                 channel.will_close = True
 
     def close_idle(self) -> None:
@@ -154,7 +153,7 @@
     def count_running(self) -> int:
         """Return the number of connections with an unfinished request."""
         return sum(
-            len(channel.requests) > 0 or channel.request is not None
+            channel.is_busy()
             for channel in tuple(self.active_channels.values())
         )
 
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -411,6 +411,27 @@
         assert time.monotonic() - started < 0.5
         assert sum(len(replica.runs()) for replica in fleet.replicas) == 1
 
+    # Guards against dropping what a caller has not read yet.
+    def test_answer_that_is_being_read_is_not_cut(self, fleet: Fleet) -> None:
+        for replica in fleet.replicas:
+            replica.body_bytes = 4_000_000
+        sock = socket.socket()
+        # As on an ordinary network, not as on the loopback device.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+        sock.connect((fleet.host, fleet.port))
+        lines = [f'{n}: {v}' for n, v in fleet.make_headers(8000).items()]
+        head = '\r\n'.join(('POST /look/x HTTP/1.1', *lines, '', ''))
+        sock.sendall(head.encode())
+        time.sleep(0.5)
+        fleet.node.send_signal(signal.SIGTERM)
+        received = 0
+        while block := sock.recv(50_000):
+            received += len(block)
+            time.sleep(0.04)
+        sock.close()
+        assert received > 4_000_000
+
     def test_registration_is_removed(self, fleet: Fleet) -> None:
         wait_until(
             lambda: 'entry/entry-1' in fleet.store.newest('keyed.status'),
