Let a restarted entry wait before it spends the fixed retries again

Callers saw (record, BUDGET): repeats beyond what is allowed. Suspected cause only: a process that replaces a killed one had the fixed part of the retry budget at once, beside what its predecessor had spent in the same window.

Change: the fixed part can be spent once the process has run for a window. The part in proportion to its own requests is not affected.

Measured: a budget that is replaced three times in four seconds gave 48 retries for 40 requests, 18 allowed; now within the bound (test_restarted_entry_does_not_spend_the_fixed_retries_again, failed before).

--- a/src/toucancourse/admission/limits.py
+++ b/src/toucancourse/admission/limits.py
@@ -109,13 +109,23 @@
 
     The budgets of several entries add up to that of the fleet: each entry
     counts its own requests, and the fixed part is divided among the entries.
+    A process that replaces another can't know what that one spent, so it waits
+    for a window before it spends the fixed part again.
     """
 
-    def __init__(self, share: float, extra: float, seconds: float) -> None:
+    def __init__(
+        self,
+        share: float,
+        extra: float,
+        seconds: float,
+        started_at: float = float('-inf'),
+    ) -> None:
         """Create a budget of `share` per request plus `extra` retries.
 
-        `seconds` is the length of the window.
+        `seconds` is the length of the window, started_at the time.monotonic()
+        of the process's start.
         """
+        self._extra_from = started_at + seconds
         self._share = share
         self._extra = extra
         self._seconds = seconds
@@ -137,7 +147,8 @@
         with self._lock:
             self._drop_expired()
             allowed = self._share * len(self._requests)
-            allowed += self._extra * fleet_share
+            if time.monotonic() >= self._extra_from:
+                allowed += self._extra * fleet_share
             if len(self._retries) + 1 > allowed:
                 return False
             self._retries.append(time.monotonic())
--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -117,6 +117,7 @@
     def __init__(self, settings: NodeSettings) -> None:
         """Create the components and bind the addresses; start() serves."""
         self._settings = settings
+        self._started_at = time.monotonic()
         decoder = PlatformDecoder()
         codec = PlatformCodec()
         self._connections = ConnectionPool(
@@ -364,6 +365,7 @@
             settings.retry_share * RETRY_BUDGET_SHARE,
             settings.retry_extra * RETRY_BUDGET_SHARE,
             settings.retry_window,
+            self._started_at,
         )
 
     def _close_connections(self, endpoint: Endpoint) -> None:
--- a/tests/test_admission.py
+++ b/tests/test_admission.py
@@ -8,7 +8,11 @@
 from freezegun import freeze_time
 
 from standins.calls import call
-from toucancourse.admission.limits import ContractLimits, RetryBudget
+from toucancourse.admission.limits import (
+    ContractLimits,
+    RetryBudget,
+    WindowBudget,
+)
 from toucancourse.admission.window import FullError, Window
 from toucancourse.errors import LimitedError
 
@@ -114,6 +118,24 @@
             with limits.admit('c', contract, 2):
                 pass
 
+    # Guards against retries that pile up as processes are restarted.
+    def test_restarted_entry_does_not_spend_the_fixed_retries_again(
+        self,
+    ) -> None:
+        with freeze_time() as clock:
+            budget = WindowBudget(0.2, 10, 10, time.monotonic())
+            clock.tick(10)
+            spent = 0
+            for _ in range(4):
+                for _ in range(10):
+                    budget.record_request()
+                spent += sum(budget.spend(1.0) for _ in range(30))
+                clock.tick(1)
+                budget = WindowBudget(0.2, 10, 10, time.monotonic())
+            assert spent <= 10 + 0.2 * 40
+            clock.tick(10)
+            assert sum(budget.spend(1.0) for _ in range(30)) == 10
+
     def test_retry_budget(self) -> None:
         """If all requests fail, retries stay within the budget."""
         budget = RetryBudget(0.1)
