Let the soak draw from all faults of endpoints and check retries and bodies

Change: scenarios "endpoints", "crashes", "restarts" and "stops" beside "mixed"; faults from all that the stand-in knows, with a break at any byte, drawn by a generator of its own, so that kept seeds draw as before. Checks: whole bodies, requests that only lose their connection, retries against the budget of all entries.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -8,6 +8,7 @@
     python -m bench.soak --seed 7
     python -m bench.soak --seeds 50 --jobs 4
     python -m bench.soak --kept        # seeds that failed before
+    python -m bench.soak --scenario stops --seeds 20
 """
 
 import argparse
@@ -31,7 +32,7 @@
 from standins.keyedstore import KeyedStore
 from standins.nodes import Node
 from standins.proxy import Route
-from standins.replica import SIGNATURE, Replica
+from standins.replica import FAULTS, SIGNATURE, UNFRAMED_FAULTS, Replica
 
 FAILED_SEEDS_FILE: Final = Path(__file__).parent / 'soak_seeds.txt'
 ENTRY_COUNT: Final = 2
@@ -48,6 +49,21 @@
 #: API keys of the callers; the second one is revoked by a fault.
 API_KEYS: Final = ('key-kept', 'key-taken')
 ROUTE_HOST: Final = 'desk.example'
+#: What a seed injects: 'mixed' faults everywhere, faults of 'endpoints' only,
+#: these beside their 'crashes' or 'restarts' of entries, or planned 'stops' of
+#: entries only.
+SCENARIOS: Final = ('mixed', 'endpoints', 'crashes', 'restarts', 'stops')
+#: Scenarios in which entries are calm, and those in which the retries at
+#: endpoints are compared with the budget.
+CALM_SCENARIOS: Final = frozenset(('endpoints', 'crashes'))
+BUDGET_SCENARIOS: Final = frozenset(('endpoints', 'crashes', 'restarts'))
+#: Largest number of bytes after which a response breaks off; a stream has more.
+MAX_BREAK_OFF_BYTES: Final = 500
+#: Retries that all entries may send in a window of so many seconds: a fixed
+#: number and a share of the requests.
+RETRY_EXTRA: Final = 10
+RETRY_SHARE: Final = 0.2
+RETRY_WINDOW_SECONDS: Final = 10.0
 #: Fault modes of the proxies.
 LINK_FAULTS: Final = ('cut', 'refuse', 'freeze', 'lose_replies', 'delay')
 #: Statuses that promise that the request was not executed.
@@ -74,9 +90,17 @@
 class SoakFleet:
     """A store, endpoints and entries, with a TCP proxy on every link."""
 
-    def __init__(self, seed: int, folder: Path) -> None:
+    def __init__(
+        self, seed: int, folder: Path, scenario: str = 'mixed'
+    ) -> None:
         """Start everything and wait until all entries serve."""
+        self.scenario = scenario
+        #: True once no process may be started any more.
+        self.is_closed = False
         self.rng = random.Random(seed)
+        #: Draws the faults of responses, so that `rng` draws as it did for
+        #: seeds that failed before.
+        self.response_rng = random.Random(f'responses of {seed}')
         self.store = KeyedStore()
         self.replicas = [
             Replica(f'i-{number}') for number in range(REPLICA_COUNT)
@@ -176,6 +200,8 @@
         for replica in self.replicas:
             replica.fault = ''
             replica.cut_at = 0
+            replica.work_seconds = 0.0
+            replica.is_framed = True
             self.register_endpoint(replica, state='ready')
         for proxy in self.proxies.values():
             proxy.set_fault('none', 0)
@@ -186,6 +212,7 @@
 
     def close(self) -> None:
         """Stop all processes and servers."""
+        self.is_closed = True
         for entry in self.entries:
             entry.kill()
         self.store.close()
@@ -300,7 +327,7 @@
 
     def resume_entry(entry: Node) -> None:
         entry.send_signal(signal.SIGCONT)
-        if not entry.is_running():
+        if not entry.is_running() and not fleet.is_closed:
             entry.start()
 
     def inject_endpoint_fault() -> None:
@@ -328,6 +355,30 @@
         state = rng.choice(('draining', 'ready'))
         fleet.register_endpoint(replica, state=state, born=rng.randint(1, 3))
 
+    def stop_entry() -> None:
+        entry = rng.choice(fleet.entries)
+        entry.send_signal(signal.SIGTERM)
+        seconds = SHUTDOWN_GRACE_SECONDS + rng.uniform(0, 1)
+        threading.Timer(seconds, resume_entry, (entry,)).start()
+        for replica in fleet.replicas:
+            replica.work_seconds = rng.choice((0, 0.1, 0.8, 2.5))
+
+    def restart_entry() -> None:
+        entry = rng.choice(fleet.entries)
+        entry.send_signal(rng.choice((signal.SIGKILL, signal.SIGTERM)))
+        threading.Timer(rng.uniform(0.2, 1), resume_entry, (entry,)).start()
+
+    def crash_endpoint() -> None:
+        rng.choice(fleet.replicas).crash(rng.uniform(0.3, 2))
+
+    if fleet.scenario == 'endpoints':
+        return [inject_endpoint_fault]
+    if fleet.scenario == 'crashes':
+        return [inject_endpoint_fault, crash_endpoint]
+    if fleet.scenario == 'restarts':
+        return [inject_endpoint_fault, restart_entry]
+    if fleet.scenario == 'stops':
+        return [stop_entry]
     faults = [
         inject_link_fault,
         inject_link_fault,
@@ -341,6 +392,21 @@
     return faults
 
 
+def inject_response_fault(fleet: SoakFleet) -> None:
+    """Let an endpoint fail in any way that the stand-in knows."""
+    rng = fleet.response_rng
+    replica = rng.choice(fleet.replicas)
+    replica.fault = rng.choice((*FAULTS, 'break_off', 'break_off'))
+    if fleet.scenario == 'crashes' and replica.fault in UNFRAMED_FAULTS:
+        # A body without a length that a crash ends looks whole.
+        replica.fault = 'break_off'
+    replica.faults_left = rng.choice((1, 4, 12, 40))
+    replica.break_off_at = rng.randrange(MAX_BREAK_OFF_BYTES)
+    # Without a frame, a stream that breaks off between events looks whole.
+    is_framed = rng.random() < 0.7 or fleet.scenario == 'crashes'
+    replica.is_framed = replica.fault == 'break_off' or is_framed
+
+
 def list_violations(
     fleet: SoakFleet, responses: list[CallerResponse]
 ) -> list[str]:
@@ -349,11 +415,13 @@
     for replica in fleet.replicas:
         for execution in replica.runs():
             executions.setdefault(execution['call'], []).append(execution)
-    violations = []
+    violations = _list_unanswered(fleet, responses, executions)
     responses = [*responses, *fleet.probe_responses]
     for response in responses:
         executed = executions.get(response.attempt_id, [])
         violations.extend(_check_response(fleet, response, executed))
+    if fleet.scenario in BUDGET_SCENARIOS:
+        violations.extend(_check_retries(fleet, responses))
     known = {response.attempt_id for response in responses}
     violations.extend(
         f'{name} was executed but never sent'
@@ -363,6 +431,49 @@
     return violations
 
 
+def _list_unanswered(
+    fleet: SoakFleet,
+    responses: list[CallerResponse],
+    executions: dict[str, list[dict[str, Any]]],
+) -> list[str]:
+    """Return a line for each request that only lost its connection.
+
+    In planned stops, requests that were not sent on may cross the close.
+    """
+    if fleet.scenario not in {*CALM_SCENARIOS, 'stops'}:
+        return []
+    return [
+        f'{response.attempt_id} ended without a response'
+        for response in responses
+        if not response.status
+        and (fleet.scenario != 'stops' or response.attempt_id in executions)
+    ]
+
+
+def _check_retries(
+    fleet: SoakFleet, responses: list[CallerResponse]
+) -> list[str]:
+    """Compare the arrivals at endpoints with the budget of all entries."""
+    arrivals = sorted(
+        (row['at'], row['call'])
+        for replica in fleet.replicas
+        for row in replica.arrivals.rows()
+    )
+    seen: set[str] = set()
+    retries = [at for at, call in arrivals if call in seen or seen.add(call)]
+    sent = [response.sent_at for response in responses]
+    for number, start in enumerate(retries):
+        end = start + RETRY_WINDOW_SECONDS
+        count = sum(at < end for at in retries[number:])
+        requests = max(
+            sum(start - early <= at < end - early for at in sent)
+            for early in (0, RETRY_WINDOW_SECONDS / 2, RETRY_WINDOW_SECONDS)
+        )
+        if count > RETRY_SHARE * requests + RETRY_EXTRA:
+            return [f'{count} retries for {requests} requests in a window']
+    return []
+
+
 def _check_response(
     fleet: SoakFleet,
     response: CallerResponse,
@@ -391,6 +502,10 @@
             f'{response.attempt_id} was executed for another account'
         )
     if response.status == 200 and response.is_complete:
+        if is_unsafe and not response.body.startswith(b'answer of i-'):
+            violations.append(
+                f'{response.attempt_id} got {len(response.body)} bytes as whole'
+            )
         if response.headers.get('x-server-signature') != SIGNATURE:
             violations.append(
                 f'{response.attempt_id} got a success without signature'
@@ -410,6 +525,8 @@
         for line in response.body.split(b'\n')
         if line.startswith(b'id:')
     ]
+    if response.body == b'no stream':
+        return []
     if ids != list(range(1, len(ids) + 1)):
         return [f'{response.attempt_id} got event ids {ids}']
     if response.is_complete and len(ids) != EVENTS_PER_STREAM:
@@ -417,10 +534,10 @@
     return []
 
 
-def run_seed(seed: int) -> list[str]:
-    """Run one seed and return its violations."""
+def run_seed(seed: int, scenario: str = 'mixed') -> list[str]:
+    """Run one seed of a scenario and return its violations."""
     with tempfile.TemporaryDirectory() as name:
-        fleet = SoakFleet(seed, Path(name))
+        fleet = SoakFleet(seed, Path(name), scenario)
         try:
             return _run_with_faults(fleet, Path(name), seed)
         finally:
@@ -434,6 +551,8 @@
     while time.monotonic() < end:
         for _ in range(fleet.rng.choice((1, 1, 2, 3))):
             fleet.rng.choice(faults)()
+        if fleet.scenario != 'stops' and fleet.response_rng.random() < 0.7:
+            inject_response_fault(fleet)
         time.sleep(fleet.rng.uniform(0.1, 0.8))
     callers.join()
     # Timers that clear faults may still be pending.
@@ -469,6 +588,7 @@
     parser.add_argument(
         '--jobs', type=int, default=2, help='seeds to run in parallel'
     )
+    parser.add_argument('--scenario', choices=SCENARIOS, default='mixed')
     parser.add_argument(
         '--kept', action='store_true', help='run the seeds that failed before'
     )
@@ -483,7 +603,9 @@
     spawn = get_context('spawn')
     with ProcessPoolExecutor(options.jobs, spawn) as pool:
         for seed, violations in zip(
-            seeds, pool.map(run_seed, seeds), strict=True
+            seeds,
+            pool.map(run_seed, seeds, [options.scenario] * len(seeds)),
+            strict=True,
         ):
             failed += bool(violations)
             print(f'seed {seed}: {"; ".join(violations[:4]) or "passed"}')
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -25,6 +25,32 @@
 }
 
 
+#: All faults of responses, as Replica.fault describes them.
+FAULTS = (
+    'shed',
+    'error',
+    'cut',
+    'extra',
+    'garbage',
+    'silent',
+    'text',
+    'not_found',
+    'unframed_empty',
+    'unsigned',
+    'crossed',
+    'close',
+    'break_off',
+    'restart',
+    'repeat',
+    'repeat_unnamed',
+    *ENDLESS,
+)
+
+
+#: Those of responses that only the end of the connection ends.
+UNFRAMED_FAULTS = frozenset(('unframed_empty', *ENDLESS))
+
+
 class _BreakingWriter(BytesIO):
     """Passes on the first bytes of a response, then breaks it off."""
 
@@ -59,6 +85,8 @@
         self.service = service
         self.port = find_port()
         self.journal = Journal()
+        #: Requests that arrived, also those that were rejected.
+        self.arrivals = Journal()
         #: Fault of the next requests:
         #: '' - none,
         #: 'shed' - rejected as overloaded and not executed,
@@ -133,6 +161,8 @@
         #: Released for each stream whose client disconnected.
         self.disconnects = threading.Semaphore(0)
         self._is_closed = False
+        #: Free while it listens.
+        self._listening = threading.Lock()
         self._server = serve(self.port, self._route, self._delay_body)
 
     def record(self, **changes: Any) -> bytes:
@@ -168,11 +198,16 @@
         if headers.get('X-Expected-Instance') not in {None, self.identifier}:
             self._refuse(request, 421)
             return
+        self.arrivals.add(call=headers.get('X-Attempt-Id'))
         fault = self._next_fault()
         if fault == 'shed':
             self.refusals += 1
             self._refuse(request, 503)
             return
+        if not getattr(request.handler, 'is_kept', False):
+            # There is no earlier refusal on a new connection.
+            fault = fault if not fault.startswith('repeat') else ''
+        request.handler.is_kept = True  # type: ignore[attr-defined]
         if fault == 'repeat':
             self._refuse(request, 503, 'earlier')
         elif fault == 'repeat_unnamed':
@@ -327,15 +362,23 @@
             request.drop()
 
     def _crash(self, request: Request) -> None:
-        self.crashes += 1
         request.drop()
-        if self.down_seconds:
+        self.crash(self.down_seconds)
+
+    def crash(self, seconds: float) -> None:
+        """End like a killed process, and be back after some seconds.
+
+        With 0 seconds, only the crash is counted.
+        """
+        self.crashes += 1
+        if seconds and self._listening.acquire(blocking=False):
             self._server.crash()
-            threading.Timer(self.down_seconds, self._restart).start()
+            threading.Timer(seconds, self._restart).start()
 
     def _restart(self) -> None:
         if not self._is_closed:
             self._server = serve(self.port, self._route, self._delay_body)
+            self._listening.release()
 
     def _crashes_on(self, prompt: str) -> bool:
         parts = [part.partition(':')[0] for part in prompt.split(',')]
