Let sound parts explain no crash, and each crash have one cause

Found by reading the change before: with endpoints that send their head at once, all requests that wait there are lost between head and first event, so a part of all prompts explained every crash, was then passed over as sound, and the cause was never looked for; parts of bystanders were found beside it.

Change: sets of sound parts are no candidates; a crash that a set explains supports no other set, of either kind of evidence.

Measured: test_each_crash_has_one_cause failed before (two bystanders' parts found); test_sound_part_of_all_prompts_explains_nothing needs the new argument, without which the shared part hides the cause.

--- a/src/toucancourse/forwarding/crashes.py
+++ b/src/toucancourse/forwarding/crashes.py
@@ -64,31 +64,37 @@
     return int.from_bytes(bytes.fromhex(_digest(names)))
 
 
-def find_crashing_sets(crashes: Iterable[Crash]) -> set[Parts]:
+def find_crashing_sets(
+    crashes: Iterable[Crash], sound: Parts = frozenset()
+) -> set[Parts]:
     """Return the sets of parts that explain the crashes.
 
-    A prompt with all parts of such a set crashes the endpoint. Crashes that
-    direct evidence explains give no indirect evidence.
+    A prompt with all parts of such a set crashes the endpoint. Parts that are
+    known to be sound explain nothing alone, and are no suspects in indirect
+    evidence. Each crash has one cause, so one that direct evidence explains
+    gives no indirect evidence.
     """
     crashes = tuple(crashes)
-    found = _find_direct_sets([crash for crash in crashes if crash.is_direct])
+    direct = [crash for crash in crashes if crash.is_direct]
+    found = _find_direct_sets(direct, sound)
     explained = {
         crash.endpoint
-        for crash in crashes
-        if crash.is_direct and any(each <= crash.parts for each in found)
+        for crash in direct
+        if any(each <= crash.parts for each in found)
     }
     unexplained = [
-        crash for crash in crashes if crash.endpoint not in explained
+        crash._replace(parts=crash.parts - sound)
+        for crash in crashes
+        if crash.endpoint not in explained
     ]
     return found | _find_indirect_sets(unexplained)
 
 
-def _find_direct_sets(crashes: list[Crash]) -> set[Parts]:
+def _find_direct_sets(crashes: list[Crash], sound: Parts) -> set[Parts]:
     """Return the sets of parts that crashes have in common.
 
-    The set that explains most crashes comes first, and no crash supports two
-    sets; of two sets that explain the same crashes, the larger one affects
-    fewer requests.
+    The set that explains most crashes comes first; of two sets that explain
+    the same crashes, the larger one affects fewer requests.
     """
     unexplained = crashes[-MAX_DIRECT_CRASHES:]
     candidates = {
@@ -96,6 +102,7 @@
         for first, second in combinations(unexplained, 2)
         if first.endpoint != second.endpoint
     }
+    candidates = {each for each in candidates if not each <= sound}
     found: set[Parts] = set()
     while candidates:
         support, _, names = max(
@@ -104,10 +111,15 @@
         )
         best = frozenset(names)
         candidates.remove(best)
-        if best and support >= MIN_CRASHES:
+        if support >= MIN_CRASHES:
             found.add(best)
+            explained = {
+                crash.endpoint for crash in unexplained if best <= crash.parts
+            }
             unexplained = [
-                crash for crash in unexplained if not best <= crash.parts
+                crash
+                for crash in unexplained
+                if crash.endpoint not in explained
             ]
     return found
 
@@ -115,8 +127,7 @@
 def _find_indirect_sets(crashes: Iterable[Crash]) -> set[Parts]:
     """Return the parts that were lost in most crashes, until all are explained.
 
-    Each crash has one cause among the requests that were lost in it. A part is
-    joined by those that all lost requests with it had too.
+    A part is joined by those that all lost requests with it had too.
     """
     unexplained = list(crashes)
     found: set[Parts] = set()
--- a/src/toucancourse/forwarding/quarantine.py
+++ b/src/toucancourse/forwarding/quarantine.py
@@ -292,24 +292,20 @@
         """Block the sets of parts that explain the recent crashes."""
         now = read_clock()
         crashes = [
-            self._remove_sound_suspects(timed.crash, now)
+            timed.crash
             for timed in self._crashes.values()
             if now - timed.known_at < CRASH_SECONDS
         ]
-        for parts in find_crashing_sets(crashes):
+        suspects = frozenset[str]().union(*(crash.parts for crash in crashes))
+        sound = suspects - self._remove_sound(suspects, now)
+        for parts in find_crashing_sets(crashes, sound):
             known = any(block.parts <= parts for block in self._blocks.values())
-            if not known and self._remove_sound(parts, now):
+            if not known:
                 self._add_block(parts, 0, 'crashes')
                 key = BLOCK_PREFIX + hash_parts(parts)
                 self._write(key, encode_parts(parts, **{TRIALS: 0}))
                 self._remove_wider_blocks(parts)
 
-    def _remove_sound_suspects(self, crash: Crash, now: float) -> Crash:
-        """Return indirect evidence without parts that are sound by now."""
-        if crash.is_direct:
-            return crash
-        return crash._replace(parts=self._remove_sound(crash.parts, now))
-
     def _remove_sound(self, parts: Parts, now: float) -> Parts:
         """Return the parts that had no response just before now."""
         never = float('-inf')
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -430,6 +430,25 @@
         ]
         assert find_crashing_sets(crashes) == {frozenset('c'), frozenset('e')}
 
+    # Guards against sound parts of bystanders that hide the cause.
+    def test_sound_part_of_all_prompts_explains_nothing(self) -> None:
+        crashes = [
+            make_crash(f'i-{number}', 'rules', name)
+            for number in range(3)
+            for name in ('deadly', f'topic-{number}', f'other-{number}')
+        ]
+        found = find_crashing_sets(crashes, frozenset(('rules',)))
+        assert found == {frozenset(('rules', 'deadly'))}
+
+    # Guards against refusing what was lost beside the cause.
+    def test_each_crash_has_one_cause(self) -> None:
+        crashes = [
+            make_crash(f'i-{number}', name)
+            for number in range(5)
+            for name in ('deadly', f'topic-{number % 2}')
+        ]
+        assert find_crashing_sets(crashes) == {frozenset(('deadly',))}
+
     def test_crashes_without_a_common_part_explain_nothing(self) -> None:
         crashes = [make_crash('i-1', 'a'), make_crash('i-2', 'b')]
         assert not find_crashing_sets(crashes)
