--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -230,6 +230,18 @@
     server.close()
 
 
+def check_each_cut(
+    server: RawServer, read: Callable[[str], object], response: bytes
+) -> None:
+    """Check that only the whole response can be read."""
+    for size in range(len(response)):
+        server.content = response[:size]
+        with pytest.raises(ERRORS):
+            read(server.address)
+    server.content = response
+    read(server.address)
+
+
 @pytest.mark.parametrize(('read', 'body'), READERS)
 class TestReaders:
     """Each client of an HTTP service notices that a response broke off."""
@@ -243,12 +255,7 @@
     ) -> None:
         framing = b'X-Other: 1\r\nContent-Length: %d' % len(body)
         response = make_response(framing, body)
-        for size in range(len(response)):
-            server.content = response[:size]
-            with pytest.raises(ERRORS):
-                read(server.address)
-        server.content = response
-        read(server.address)
+        check_each_cut(server, read, response)
 
     # Guards against a chunked body whose last chunk is cut.
     def test_chunked_response_cut_at_any_byte_is_an_error(
@@ -261,12 +268,7 @@
         response = make_response(
             b'Transfer-Encoding: chunked', chunk + b'0\r\n\r\n'
         )
-        for size in range(len(response)):
-            server.content = response[:size]
-            with pytest.raises(ERRORS):
-                read(server.address)
-        server.content = response
-        read(server.address)
+        check_each_cut(server, read, response)
 
     # Guards against reading until the connection's end where a length is due.
     @pytest.mark.parametrize('framing', UNREADABLE)
