Close connections whose callers stop reading their responses

Change: last_used is the time of the last byte in or out, as its comment says; output without progress for the idle timeout closes the connection, which ends a write that waits.

Measured: test_unread_response_is_dropped_after_the_idle_timeout got all of 4,000,000 bytes after 7 s with an idle timeout of 1 s, on the commit before; passes now.

--- a/src/toucancourse/ingress/channels.py
+++ b/src/toucancourse/ingress/channels.py
@@ -87,6 +87,7 @@
         self._channel.on_disconnect = on_disconnect
 
     def _write(self, content: bytes) -> None:
+        self._channel.last_used = time.monotonic()
         try:
             self._channel.write_soon(content)
         except (ClientDisconnected, OSError) as error:
@@ -197,13 +198,24 @@
         super().handle_close()
         self._notify_disconnect()
 
+    def handle_write(self) -> None:
+        """Send output that waits."""
+        unsent = self.total_outbufs_len
+        super().handle_write()
+        if self.total_outbufs_len < unsent:
+            self.last_used = time.monotonic()
+
+    def has_requests(self) -> bool:
+        """Return True while a request is received or served."""
+        return bool(self.requests) or self.request is not None
+
+    def has_output(self) -> bool:
+        """Return True while the caller has not read all output."""
+        return bool(self.connected and self.total_outbufs_len > 0)
+
     def is_busy(self) -> bool:
         """Return True while a request is received, served or answered."""
-        return (
-            bool(self.requests)
-            or self.request is not None
-            or (self.connected and self.total_outbufs_len > 0)
-        )
+        return self.has_requests() or self.has_output()
 
     def readable(self) -> bool:
         """Return True if there may be input from a connected caller."""
--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -126,12 +126,15 @@
         """
         used_before = time.monotonic() - self.idle_seconds - IDLE_MARGIN_SECONDS
         if self.is_closed:
-            used_before = float('inf')
             self._stop_listening()
         for channel in tuple(self.active_channels.values()):
             if not channel.last_used:
                 channel.last_used = time.monotonic()
-            if not channel.is_busy() and channel.last_used < used_before:
+            # A caller that does not read its response is idle, too.
+            is_idle = channel.has_output() or not channel.has_requests()
+            if is_idle and channel.last_used < used_before:
+                channel.will_close = True
+            if self.is_closed and not channel.is_busy():
                 channel.will_close = True
 
     def close_idle(self) -> None:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -1,5 +1,6 @@
 """Tests of the platform entry as a process: start, drain, outage, limits."""
 
+import contextlib
 import itertools
 import json
 import os
@@ -102,6 +103,18 @@
         address = f'{self.host}:{self.port}'
         return call(address, method, path, {}, headers, timeout=8)
 
+    def send_unread(self, path: str) -> socket.socket:
+        """Send a request and return its connection."""
+        sock = socket.socket()
+        # As on an ordinary network, not as on the loopback device.
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
+        sock.connect((self.host, self.port))
+        lines = [f'{n}: {v}' for n, v in self.make_headers(8000).items()]
+        head = '\r\n'.join((f'POST {path} HTTP/1.1', *lines, '', ''))
+        sock.sendall(head.encode())
+        return sock
+
     def close(self) -> None:
         """Stop the entry, the store and the endpoints."""
         self.node.kill()
@@ -220,6 +233,27 @@
         for caller in callers:
             caller.close()
 
+    # Guards against connections that a caller who stops reading keeps open.
+    def test_unread_response_is_dropped_after_the_idle_timeout(
+        self, fleet: Fleet
+    ) -> None:
+        limits = {'idleTimeoutMs': 1000}
+        config = make_operator_config(2, limits=limits)
+        fleet.store.put('keyed.op', 'config', config)
+        wait_until(
+            lambda: '"revision": 2' in fleet.log.read_text(), 5, 'configuration'
+        )
+        for replica in fleet.replicas:
+            replica.body_bytes = 4_000_000
+        sock = fleet.send_unread('/look/x')
+        time.sleep(7)
+        received = 0
+        with contextlib.suppress(ConnectionResetError):
+            while block := sock.recv(50_000):
+                received += len(block)
+        sock.close()
+        assert received < 4_000_000
+
     def test_two_thousand_idle_connections(self, fleet: Fleet) -> None:
         idle = [
             socket.create_connection((fleet.host, fleet.port))
@@ -415,14 +449,7 @@
     def test_answer_that_is_being_read_is_not_cut(self, fleet: Fleet) -> None:
         for replica in fleet.replicas:
             replica.body_bytes = 4_000_000
-        sock = socket.socket()
-        # As on an ordinary network, not as on the loopback device.
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_MAXSEG, 1460)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32_768)
-        sock.connect((fleet.host, fleet.port))
-        lines = [f'{n}: {v}' for n, v in fleet.make_headers(8000).items()]
-        head = '\r\n'.join(('POST /look/x HTTP/1.1', *lines, '', ''))
-        sock.sendall(head.encode())
+        sock = fleet.send_unread('/look/x')
         time.sleep(0.5)
         fleet.node.send_signal(signal.SIGTERM)
         received = 0
