Limit the allocator's arenas, so that memory stays flat

Cause: glibc has eight arenas a core, and each keeps what its threads needed at their busiest time; large bodies come to another thread each time.

Change: two arenas, and free memory over 1 MiB at their ends is given back.

--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -1,6 +1,7 @@
 """Command line, signals and exit codes of the daemon."""
 
 import argparse
+import ctypes
 import faulthandler
 import importlib
 import os
@@ -20,6 +21,12 @@
 
 EXIT_SETTINGS: Final = 2
 EXIT_START_FAILED: Final = 1
+#: Parameters of mallopt(3), as malloc.h numbers them.
+MALLOPT_TRIM_THRESHOLD: Final = -1
+MALLOPT_ARENA_MAX: Final = -8
+MAX_ARENAS: Final = 2
+#: Free memory at the end of an arena that is given back.
+TRIM_BYTES: Final = 1_048_576
 #: File name suffix of the users' platform's settings.
 PLATFORM_SUFFIX: Final = '.toml'
 
@@ -62,6 +69,21 @@
     resource.setrlimit(resource.RLIMIT_NOFILE, (hard, hard))
 
 
+def bound_allocator() -> None:
+    """Limit the arenas of glibc's allocator.
+
+    Each keeps what its threads needed at their busiest time, and by default
+    there are eight for each core.
+    """
+    try:
+        mallopt = ctypes.CDLL(None).mallopt
+    except AttributeError as error:
+        logger.info('allocator not bounded', why=repr(error))
+        return
+    mallopt(MALLOPT_ARENA_MAX, MAX_ARENAS)
+    mallopt(MALLOPT_TRIM_THRESHOLD, TRIM_BYTES)
+
+
 def run(settings: Settings) -> int:
     """Serve until SIGTERM or SIGINT; return the exit code."""
     set_up_logs(settings)
@@ -83,6 +105,7 @@
 
 def run_node(settings: NodeSettings) -> int:
     """Serve on the users' platform until SIGTERM; return the exit code."""
+    bound_allocator()
     # Writes the stacks of all threads if the interpreter crashes.
     faulthandler.enable()
     writer = set_up_node_logs(settings.instance, 'DEBUG')
