Remove a second break of responses from the stand-in

Found by the last reading: an edit had left two wrappers around a response that breaks off, of which the inner one did nothing for "break_off" and broke again for "restart", and an attribute that nothing reads.

Change: one wrapper; the attribute is gone.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -118,10 +118,6 @@
         self.break_off_at = 0
         #: If set, each response breaks off after fewer bytes than this.
         self.break_off_within = 0
-        #: Headers that replace the body's length.
-        self.framing: dict[str, str] = {}
-        #: Bytes of a response that leave the endpoint before it breaks off.
-        self.break_off_at = 0
         #: Value of the routing confidence header; None for no header.
         self.confidence: int | None = None
         #: Confidence by model; takes precedence over `confidence`.
@@ -220,10 +216,6 @@
             body=request.body,
             headers=dict(headers.items()),
         )
-        if fault in {'break_off', 'restart'}:
-            request.handler.wfile = _BreakingWriter(
-                request.handler.wfile, self.break_off_at, fault
-            )
         if fault in {'break_off', 'restart'}:
             request.handler.wfile = _BreakingWriter(
                 request.handler.wfile, self._draw_break(), fault == 'restart'
