--- a/bench/soak.py
+++ b/bench/soak.py
@@ -140,7 +140,11 @@
         ]
         for entry in self.entries:
             entry.start()
-        wait_until(self.ensure_ready, RECOVERY_TIMEOUT_SECONDS, 'readiness')
+        try:
+            wait_until(self.ensure_ready, RECOVERY_TIMEOUT_SECONDS, 'readiness')
+        except TimeoutError as error:
+            self.close()
+            raise TimeoutError(f'{error}\n{self._describe_start()}') from error
 
     def add_proxy(self, name: str, port: int) -> int:
         """Start a proxy to a port of this process; return its port."""
@@ -236,6 +240,20 @@
         for replica in self.replicas:
             replica.close()
 
+    def _describe_start(self) -> str:
+        """Return the probes' responses and the logs of the entries."""
+        started_at = min(probe.sent_at for probe in self.probe_responses)
+        probes = [
+            f'probe at {probe.sent_at - started_at:.2f} s: {probe.status}'
+            f' {probe.body[-MAX_BREAK_OFF_BYTES:]!r}'
+            for probe in self.probe_responses
+        ]
+        logs = [
+            f'{entry.name}, running: {entry.is_running()}\n{entry.log_text()}'
+            for entry in self.entries
+        ]
+        return '\n'.join((*probes, *logs))
+
     def _make_entry(self, seed: int, number: int, folder: Path) -> Node:
         name = f'entry-{number}'
         # Each entry has its own IP address, as on separate machines.
