Describe a soak's failed start before its entries are ended

Cause: read in the diff: the description was made after the entries were killed, so each was said not to run, and a change was repeated without a bound while the emulated log was down.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -143,8 +143,9 @@
         try:
             wait_until(self.ensure_ready, RECOVERY_TIMEOUT_SECONDS, 'readiness')
         except TimeoutError as error:
+            description = self._describe_start()
             self.close()
-            raise TimeoutError(f'{error}\n{self._describe_start()}') from error
+            raise TimeoutError(f'{error}\n{description}') from error
 
     def add_proxy(self, name: str, port: int) -> int:
         """Start a proxy to a port of this process; return its port."""
--- a/tests/test_promises_configuration.py
+++ b/tests/test_promises_configuration.py
@@ -135,12 +135,14 @@
             entry = ('e1', 'e2')[number % 2]
             body = make_contract('garmi-key', concurrent=number + 1)
             responses: list[Response] = []
-            while not responses or is_not_run(responses[-1]):
+            for _ in range(MAX_REPEATS + 1):
                 base = fleet.admin(entry, 'GET', f'/objects/{name}').json()
                 change = {'base': base['revision'], 'body': body}
                 responses.append(
                     fleet.admin(entry, 'PUT', f'/objects/{name}', change)
                 )
+                if not is_not_run(responses[-1]):
+                    break
             return responses
 
         with ThreadPoolExecutor(3) as workers:
