Log how the response of a failed attempt was defective

Callers saw: nothing new.

Change: `attempt failed` has `defect` (why the response can't be used), `is_reused` (the connection served requests before) and `received` (bytes). toucancourse_response_defects_total counts them. Data after a response, which close its connection, leave a line of their own; before, nothing did.

--- a/src/toucancourse/errors.py
+++ b/src/toucancourse/errors.py
@@ -22,6 +22,27 @@
     unknown = 'unknown'
 
 
+class ResponseDefect(StrEnum):
+    """Why the response of an endpoint can't be used."""
+
+    #: The connection ended before the first byte.
+    absent = 'absent'
+    head_truncated = 'head_truncated'
+    head_malformed = 'head_malformed'
+    #: Another response begins within the head.
+    head_restarted = 'head_restarted'
+    #: The response names another request.
+    other_request = 'other_request'
+    #: It names none, on a connection that served other requests before.
+    no_request = 'no_request'
+    unsigned = 'unsigned'
+    body_truncated = 'body_truncated'
+    #: Another response begins within the body, or within an event of it.
+    body_restarted = 'body_restarted'
+    #: Chunks without a valid size or end.
+    framing_malformed = 'framing_malformed'
+
+
 class CourseError(Exception):
     """Base class of all errors with a code."""
 
@@ -168,6 +189,11 @@
     status = 502
     outcome = Outcome.unknown
 
+    def __init__(self, text: str, defect: ResponseDefect | None = None) -> None:
+        """Create an error; without a defect, the response was whole or late."""
+        super().__init__(text)
+        self.defect = defect
+
 
 class StoppedError(EndpointError):
     """The daemon stopped before the endpoint responded."""
--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from ..errors import CourseError, Outcome
+from ..errors import CourseError, EndpointError, Outcome
 from .admission import EndpointChoice
 from .canary import PACE, LatencyClass
 from .connections import (
@@ -202,6 +202,7 @@
         choice = attempt.choice
         record = choice.endpoint.record
         seconds = time.monotonic() - attempt.started_at
+        defect = error.defect if isinstance(error, EndpointError) else None
         logger.info(
             'attempt failed',
             call=call.identifier,
@@ -209,13 +210,18 @@
             version=choice.version,
             model=attempt.model,
             code=error.code,
+            defect=defect,
             why=error.text,
             seconds=round(seconds, 4),
+            is_reused=attempt.exchange.is_reused,
+            received=attempt.exchange.count_received(),
             parts=[part.identifier[:LOGGED_CHARACTERS] for part in call.prompt],
             has_head=attempt.exchange.head is not None,
             events=attempt.progress.events,
         )
         self._context.metrics.failures.labels(error.code).inc()
+        if defect is not None:
+            self._context.metrics.defects.labels(defect).inc()
         if error.outcome is Outcome.not_run:
             return
         self._context.outliers.record_attempt(record.identifier, failed=True)
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -9,8 +9,13 @@
 
 from loguru import logger
 
-from ..errors import CourseError, EndpointError, Outcome
-from ..interfaces.responses import CheckedResponse, SocketReader
+from ..errors import CourseError, EndpointError, Outcome, ResponseDefect
+from ..interfaces.responses import (
+    CheckedResponse,
+    SocketReader,
+    find_body_defect,
+    find_head_defect,
+)
 from .buffers import PieceBuffer, ResponseBuffers
 from .messages import Codec
 from .objects import (
@@ -110,15 +115,6 @@
         except (OSError, ValueError):
             return False
 
-    def has_trailing_data(self, sock: socket.socket) -> bool:
-        """Return True if data follows the end of the response.
-
-        Such data would be parsed as the response to the next request.
-        """
-        if self._reader.closed:
-            return False
-        return self.has_buffered_data() or not _is_silent(sock)
-
     def abandon(self) -> None:
         """Close the reader before the end of the response."""
         self.fp = None  # type: ignore[assignment]
@@ -149,7 +145,7 @@
     ) -> None:
         """Create an exchange that owns a connection until release()."""
         #: True if earlier requests were sent on the connection.
-        self._is_reused = is_reused
+        self.is_reused = is_reused
         self._connection = connection
         # HTTPConnection drops its socket after a "Connection: close" response.
         self._sock: socket.socket = connection.sock
@@ -228,22 +224,35 @@
         except TimeoutError as error:
             raise SilentError('timeout waiting for the response') from error
         except _TRANSPORT_ERRORS as error:
-            raise ConnectionLostError(f'no response: {error!r}') from error
+            raise ConnectionLostError(
+                f'no response: {error!r}',
+                find_head_defect(error, self.count_received()),
+            ) from error
         headers: Headers = tuple(response.getheaders())
         self.head = self._codec.decode_head(response.status, headers)
-        if not self._is_own_response(self.head):
-            raise EndpointError('the response belongs to another request')
+        defect = self._find_foreign(self.head)
+        if defect is not None:
+            raise EndpointError(
+                'the response belongs to another request', defect
+            )
         return self.head
 
-    def _is_own_response(self, head: ResponseHead) -> bool:
-        """Return True if a response belongs to this exchange's request.
+    def count_received(self) -> int:
+        """Return the number of bytes received of the response."""
+        response = self._response
+        return 0 if response is None else response.count_received()
+
+    def _find_foreign(self, head: ResponseHead) -> ResponseDefect | None:
+        """Return why a response may not be that of this exchange's request.
 
         Without an identifier it may be a late copy of the response to an
         earlier request, unless the connection is new.
         """
-        if head.call or self._is_reused:
-            return head.call == self._call.identifier
-        return True
+        if not head.call and self.is_reused:
+            return ResponseDefect.no_request
+        if head.call and head.call != self._call.identifier:
+            return ResponseDefect.other_request
+        return None
 
     def read_body(self, until: float) -> bytes:
         """Return the complete rest of the body.
@@ -281,7 +290,8 @@
             raise SilentError('timeout within the response') from error
         except _TRANSPORT_ERRORS as error:
             raise ConnectionLostError(
-                f'the response was interrupted: {error!r}'
+                f'the response was interrupted: {error!r}',
+                find_body_defect(error),
             ) from error
         if content:
             return content
@@ -327,7 +337,18 @@
         if response is None or not is_reusable:
             self.close()
             return None
-        if response.will_close or response.has_trailing_data(self._sock):
+        if response.will_close:
+            self.close()
+            return None
+        # Data that follow would be parsed as the response to the next request.
+        waiting = response.has_buffered_data() or _peek(self._sock)
+        if waiting:
+            logger.info(
+                'data after the response',
+                call=self._call.identifier,
+                received=response.count_received(),
+            )
+        if waiting is not None:
             self.close()
             return None
         response.close()
@@ -497,14 +518,18 @@
 
 def _is_silent(sock: socket.socket) -> bool:
     """Return True if a connection is open and has no unread data."""
+    return _peek(sock) is None
+
+
+def _peek(sock: socket.socket) -> bytes | None:
+    """Return a byte of unread data, b'' after its end, None without either."""
     sock.settimeout(0)
     try:
-        sock.recv(1, socket.MSG_PEEK)
+        return sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        return True
+        return None
     except OSError:
-        return False
-    return False
+        return b''
 
 
 def _make_key(record: EndpointRecord) -> tuple[str, int]:
--- a/src/toucancourse/forwarding/metrics.py
+++ b/src/toucancourse/forwarding/metrics.py
@@ -40,6 +40,12 @@
             ('code',),
             registry=registry,
         )
+        self.defects = Counter(
+            'toucancourse_response_defects',
+            'Responses of endpoints that could not be used, by the reason',
+            ('defect',),
+            registry=registry,
+        )
         self.discarded = Counter(
             'toucancourse_dropped_answers',
             'Answers of a smaller model that were not good enough',
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -14,6 +14,7 @@
     EndpointError,
     LateEndpointError,
     Outcome,
+    ResponseDefect,
     UnavailableError,
 )
 from .admission import (
@@ -372,7 +373,9 @@
         route = self._admitted.route
         is_success = HTTPStatus.OK <= head.status < HTTPStatus.MULTIPLE_CHOICES
         if is_success and not head.is_signed:
-            raise EndpointError('the response has no server signature')
+            raise EndpointError(
+                'the response has no server signature', ResponseDefect.unsigned
+            )
         if not is_success:
             return self._forward_failure(attempt, head)
         if route.kind is RouteKind.stream and head.is_event_stream:
@@ -399,7 +402,10 @@
         if self._has_started:
             raise error
         if not head.is_signed:
-            raise EndpointError('the error response has no server signature')
+            raise EndpointError(
+                'the error response has no server signature',
+                ResponseDefect.unsigned,
+            )
         self._send_response(head, body)
         return True
 
@@ -438,9 +444,15 @@
                 self._write_events(attempt, head, events.content)
                 self._last_event = events.last_id or self._last_event
         if event_splitter.count_buffered() or not self._has_started:
-            raise ConnectionLostError('the stream ended within an event')
+            raise ConnectionLostError(
+                'the stream ended within an event',
+                ResponseDefect.body_truncated,
+            )
         if exchange.ends_with_connection() and not attempt.progress.events:
-            raise ConnectionLostError('the resumed stream has no event')
+            raise ConnectionLostError(
+                'the resumed stream has no event',
+                ResponseDefect.body_truncated,
+            )
         self._recorder.record_survival(self._call, attempt, is_complete=True)
         if not attempt.options.last_event:
             self._context.admission.lengths.observe(
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -19,6 +19,8 @@
 from io import BufferedReader, RawIOBase
 from typing import Any, Final, cast
 
+from ..errors import ResponseDefect
+
 #: Longest head, with the heads of interim responses before it.
 MAX_HEAD_BYTES: Final = 65_536
 CHUNKED: Final = 'chunked'
@@ -32,10 +34,34 @@
 class TruncatedHeadError(HTTPException):
     """The connection ended within the head of the response."""
 
+    defect = ResponseDefect.head_truncated
+
 
 class InvalidHeadError(HTTPException):
     """The head is too long, malformed, or does not tell the body's length."""
 
+    defect = ResponseDefect.head_malformed
+
+
+class InvalidChunkError(HTTPException):
+    """The size or the end of a chunk is not valid."""
+
+    defect = ResponseDefect.framing_malformed
+
+
+def find_head_defect(error: Exception, received: int) -> ResponseDefect:
+    """Return why reading a head failed after a number of bytes."""
+    if not received:
+        return ResponseDefect.absent
+    if isinstance(error, OSError):
+        return ResponseDefect.head_truncated
+    return getattr(error, 'defect', ResponseDefect.head_malformed)
+
+
+def find_body_defect(error: Exception) -> ResponseDefect:
+    """Return why reading a body failed."""
+    return getattr(error, 'defect', ResponseDefect.body_truncated)
+
 
 class SocketReader(RawIOBase):
     """Reads a socket, notes its end and bounds the size of heads."""
@@ -47,6 +73,8 @@
         self._head_bytes: int | None = 0
         #: True once the connection has ended.
         self.has_ended = False
+        #: Bytes received so far.
+        self.received = 0
 
     def readable(self) -> bool:
         """Return True."""
@@ -60,6 +88,7 @@
         count = self._raw.readinto(buffer)
         if count == 0:
             self.has_ended = True
+        self.received += count or 0
         if self._head_bytes is not None:
             self._head_bytes += count or 0
             if self._head_bytes > MAX_HEAD_BYTES + len(buffer):
@@ -115,6 +144,10 @@
             raise IncompleteRead(b'', self.length)
         return content
 
+    def count_received(self) -> int:
+        """Return the number of bytes received, also of heads before it."""
+        return self._raw.received
+
     def _wrap_socket(
         self, sock: socket.socket, raw: socket.SocketIO
     ) -> SocketReader:
@@ -135,12 +168,20 @@
                 raise InvalidHeadError(f'invalid length "{length}"')
 
     def _read_next_chunk_size(self) -> int:
-        """Return the next chunk's size; raise ValueError if it is invalid."""
-        size = int(
-            super()._read_next_chunk_size()  # type: ignore[misc]
-        )
-        if size < 0 or self._raw.has_ended:
-            raise ValueError('the size of a chunk is cut off or negative')
+        """Return the next chunk's size.
+
+        Raises InvalidChunkError, and IncompleteRead if it is cut off.
+        """
+        try:
+            size = int(
+                super()._read_next_chunk_size()  # type: ignore[misc]
+            )
+        except ValueError:
+            size = -1
+        if self._raw.has_ended:
+            raise IncompleteRead(b'')
+        if size < 0:
+            raise InvalidChunkError('the size of a chunk is invalid')
         return size
 
     def _read_and_discard_trailer(self) -> None:
