--- a/standins/replica.py
+++ b/standins/replica.py
@@ -12,8 +12,8 @@
 from .serving import Journal, Request, serve
 
 SIGNATURE = 'test-signature'
-#: More than any response here has.
-MAX_RESPONSE_BYTES = 1_000_000
+#: How much of a response is kept, to send it once more.
+MAX_KEPT_BYTES = 65_536
 EVENT_STREAM_HEAD = b'Content-Type: text/event-stream\r\n\r\n'
 #: Fault -> bytes after the first headers, bytes that are repeated without end,
 #: and the pause between them in seconds.
@@ -42,40 +42,58 @@
     'close',
     'break_off',
     'restart',
+    'restart_failed',
+    'copy',
+    'copy_failed',
     'repeat',
     'repeat_unnamed',
     *ENDLESS,
 )
 
 
+#: Faults that break a response off and write one from the start.
+RESTARTS = frozenset(('restart', 'restart_failed'))
+#: Faults that first send the start of the answer to the request before.
+COPIES = frozenset(('copy', 'copy_failed'))
 #: Those of responses that only the end of the connection ends.
 UNFRAMED_FAULTS = frozenset(('unframed_empty', *ENDLESS))
 
 
-class _BreakingWriter(BytesIO):
-    """Passes on the first bytes of a response, then breaks it off."""
+class _BrokenOffError(Exception):
+    """The response was broken off and is to be written from its start."""
 
-    def __init__(self, output: Any, size: int, restarts: bool) -> None:
-        """Break off after so many bytes, or write all again from there."""
+
+class _ResponseWriter(BytesIO):
+    """Passes on a response, or its first bytes, and keeps its start."""
+
+    def __init__(self, output: Any) -> None:
+        """Write to a connection."""
         super().__init__()
-        self._output = output
-        self._left = size
-        self._restarts = restarts
+        self.output = output
+        #: Bytes to pass on before the response breaks off; None for all.
+        self.left: int | None = None
+        #: Raised once it is broken off.
+        self.error: type[Exception] = ConnectionAbortedError
 
     def write(self, content: Any, /) -> int:
-        """Pass bytes on; raises ConnectionAbortedError once broken off."""
-        super().write(content)
-        self._output.write(content[: self._left])
-        self._output.flush()
-        is_broken = len(content) > self._left
-        self._left = max(0, self._left - len(content))
-        if is_broken and self._restarts:
-            self._left = len(content) + MAX_RESPONSE_BYTES
-            self._output.write(self.getvalue())
-        elif is_broken:
-            raise ConnectionAbortedError('broken off')
+        """Pass bytes on; raises `error` once broken off."""
+        if self.tell() < MAX_KEPT_BYTES:
+            super().write(content)
+        if self.left is None:
+            self.output.write(content)
+            return len(content)
+        self.output.write(content[: self.left])
+        self.output.flush()
+        is_broken = len(content) > self.left
+        self.left = max(0, self.left - len(content))
+        if is_broken:
+            raise self.error('broken off')
         return len(content)
 
+    def flush(self) -> None:
+        """Send what was written."""
+        self.output.flush()
+
 
 class Replica:
     """An endpoint that executes requests or fails as a test configures."""
@@ -104,6 +122,10 @@
         #: 'close' - connection closed without a response,
         #: 'break_off' - connection closed after break_off_at bytes,
         #: 'restart' - broken off there, and written again from its start,
+        #: 'restart_failed' - the same, but status 500 is written then,
+        #: 'copy' - that many bytes of the earlier response on a kept
+        #:     connection, then the response,
+        #: 'copy_failed' - the same, but the response has status 500,
         #: 'repeat' - an earlier refusal before the response,
         #: 'repeat_unnamed' - the same without the attempt's id,
         #: 'drip_head' - a header line that never ends, byte by byte,
@@ -116,6 +138,9 @@
         self.faults_left = -1
         #: Bytes of a response that leave the endpoint before it breaks off.
         self.break_off_at = 0
+        #: Pause before a broken response is written again, or the response
+        #: after a copy, in seconds.
+        self.restart_seconds = 0.0
         #: If set, each response breaks off after fewer bytes than this.
         self.break_off_within = 0
         #: Value of the routing confidence header; None for no header.
@@ -153,6 +178,8 @@
         self.work_seconds = 0.0
         #: Length of the body of these responses; 0 for a short one.
         self.body_bytes = 0
+        #: Their body; None for one that names the endpoint.
+        self.body: bytes | None = None
         #: Delay before a request's body is read, in seconds.
         self.body_delay = 0.0
         #: Released for each stream whose client disconnected.
@@ -201,10 +228,10 @@
             self.refusals += 1
             self._refuse(request, 503)
             return
-        if not getattr(request.handler, 'is_kept', False):
-            # There is no earlier refusal on a new connection.
-            fault = fault if not fault.startswith('repeat') else ''
-        request.handler.is_kept = True  # type: ignore[attr-defined]
+        earlier = getattr(request.handler, 'earlier', b'')
+        if not earlier and (fault in COPIES or fault.startswith('repeat')):
+            # Nothing was sent before on a new connection.
+            fault = ''
         if fault == 'repeat':
             self._refuse(request, 503, 'earlier')
         elif fault == 'repeat_unnamed':
@@ -216,13 +243,45 @@
             body=request.body,
             headers=dict(headers.items()),
         )
-        if fault in {'break_off', 'restart'}:
-            request.handler.wfile = _BreakingWriter(
-                request.handler.wfile, self._draw_break(), fault == 'restart'
-            )
         if fault in ENDLESS:
             self._send_forever(request, *ENDLESS[fault])
-        elif fault in {'silent', 'close'}:
+            return
+        if fault in COPIES:
+            request.handler.wfile.write(earlier[: self._draw_break()])
+            request.handler.wfile.flush()
+            time.sleep(self.restart_seconds)
+            fault = 'error' if fault == 'copy_failed' else ''
+        output = request.handler.wfile
+        writer = _ResponseWriter(output)
+        request.handler.wfile = writer
+        try:
+            self._answer_breaking(request, fault, writer)
+        finally:
+            request.handler.wfile = output
+            request.handler.earlier = writer.getvalue()  # type: ignore[attr-defined]
+
+    def _answer_breaking(
+        self, request: Request, fault: str, writer: _ResponseWriter
+    ) -> None:
+        """Answer a request; break off and start again if the fault says so."""
+        if fault not in {'break_off', *RESTARTS}:
+            self._answer(request, fault)
+            return
+        writer.left = self._draw_break()
+        if fault in RESTARTS:
+            writer.error = _BrokenOffError
+        try:
+            self._answer(request, fault)
+        except _BrokenOffError:
+            # Headers that were not sent would be sent with the next ones.
+            request.handler._headers_buffer = []  # type: ignore[attr-defined]
+            time.sleep(self.restart_seconds)
+            writer.left = None
+            self._answer(request, 'error' if fault == 'restart_failed' else '')
+
+    def _answer(self, request: Request, fault: str) -> None:
+        headers = request.handler.headers
+        if fault in {'silent', 'close'}:
             time.sleep(0 if fault == 'close' else 1.5)
             request.drop()
         elif headers.get('Accept') == 'text/event-stream':
@@ -273,7 +332,9 @@
 
     def _respond(self, request: Request, fault: str) -> None:
         time.sleep(self.work_seconds)
-        body = f'answer of {self.identifier}'.encode()
+        body = self.body
+        if body is None:
+            body = f'answer of {self.identifier}'.encode()
         body = body.ljust(self.body_bytes, b'.')
         if fault == 'error':
             self._send(
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -7,6 +7,7 @@
 from hypothesis import settings
 
 from .fleet import SmallFleet
+from .forwarding import RelayHarness
 
 settings.register_profile(
     'ci', derandomize=True, deadline=None, max_examples=60, database=None
@@ -31,3 +32,11 @@
     """Return a running fleet of one entry, two model servers and a service."""
     with SmallFleet(('e1',)) as fleet:
         yield fleet
+
+
+@pytest.fixture
+def relay() -> Iterator[RelayHarness]:
+    """Return a relay in front of one endpoint."""
+    relay = RelayHarness(replicas=1)
+    yield relay
+    relay.close()
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -196,6 +196,25 @@
         return [run for replica in self.replicas for run in replica.runs()]
 
 
+def break_off(
+    relay: RelayHarness,
+    path: str,
+    size: int,
+    fault: str = 'break_off',
+    **options: Any,
+) -> RecordedResponse:
+    """Send a request whose response breaks off after some bytes."""
+    replica = relay.replicas[0]
+    relay.endpoints.apply(replica.identifier, None)
+    relay.endpoints.apply(replica.identifier, replica.record(born=size + 2))
+    replica.break_off_at = size
+    replica.fault = fault
+    before = len(relay.runs())
+    response = relay.send(path, **options)
+    assert len(relay.runs()) > before
+    return response
+
+
 def make_request(
     path: str,
     method: str = 'POST',
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -14,7 +14,7 @@
 from toucancourse.interfaces.calls import PlatformDownError, call_json
 from toucancourse.platform.store import StoreTopic
 
-from .forwarding import RecordedResponse, RelayHarness
+from .forwarding import RecordedResponse, RelayHarness, break_off
 
 BODY = b'answer of i-0'
 #: Callers at the same time, and the requests of each.
@@ -24,29 +24,6 @@
 REQUESTS = 40
 
 
-@pytest.fixture
-def relay() -> Iterator[RelayHarness]:
-    """Return a relay in front of one endpoint."""
-    relay = RelayHarness(replicas=1)
-    yield relay
-    relay.close()
-
-
-def break_off(
-    relay: RelayHarness, path: str, size: int, fault: str = 'break_off'
-) -> RecordedResponse:
-    """Send a request whose response breaks off after some bytes."""
-    replica = relay.replicas[0]
-    relay.endpoints.apply(replica.identifier, None)
-    relay.endpoints.apply(replica.identifier, replica.record(born=size + 2))
-    replica.break_off_at = size
-    replica.fault = fault
-    before = len(relay.runs())
-    response = relay.send(path)
-    assert len(relay.runs()) > before
-    return response
-
-
 def is_whole_answer(response: RecordedResponse) -> bool:
     """Return True for the endpoint's whole signed answer."""
     return (
--- a/tests/test_faulty_endpoints.py
+++ b/tests/test_faulty_endpoints.py
@@ -2,7 +2,6 @@
 
 import resource
 import time
-from collections.abc import Iterator
 
 import pytest
 
@@ -18,14 +17,6 @@
 MAX_GROWTH_KIB = 65_536
 
 
-@pytest.fixture
-def relay() -> Iterator[RelayHarness]:
-    """Return a relay in front of one endpoint."""
-    relay = RelayHarness(replicas=1)
-    yield relay
-    relay.close()
-
-
 def start_fault(relay: RelayHarness, fault: str) -> None:
     """Open a connection to the endpoint, then make it fail."""
     assert relay.send('/look/x').status == 200
