Reject responses that broke off and started again

Cause: an endpoint broke off within its answer and wrote one from the start on the same connection, or sent the start of an earlier answer before it. What was due of the first was filled from the second: http.client ends no line, no length and no chunk at a status line. The class of fault: the place of bytes on a connection was taken for proof of which response they belong to.

Change: a head has one status line, and no bare carriage return. A body with a length may quote a status line, but is rejected if the rest of a response follows it. A body with the head of a response to the same request, an event that holds a head, and a chunk that does not end at its size are rejected. Bodies that quote a status line pass as before.

--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -15,6 +15,8 @@
     SocketReader,
     find_body_defect,
     find_head_defect,
+    holds_head,
+    holds_response,
 )
 from .buffers import PieceBuffer, ResponseBuffers
 from .messages import Codec
@@ -109,16 +111,7 @@
 
     def has_buffered_data(self) -> bool:
         """Return True if bytes were received that were not read yet."""
-        self._raw.until = 0.0
-        try:
-            return bool(self._reader.peek(1))
-        except (OSError, ValueError):
-            return False
-
-    def abandon(self) -> None:
-        """Close the reader before the end of the response."""
-        self.fp = None  # type: ignore[assignment]
-        self._reader.close()
+        return bool(self._raw.peek_buffered(self._reader))
 
     def _wrap_socket(
         self, sock: socket.socket, raw: socket.SocketIO
@@ -126,10 +119,6 @@
         """Return a reader whose reads end at the deadline."""
         return _DeadlineReader(sock, raw)
 
-    def _close_conn(self) -> None:
-        """Keep the reader open for has_trailing_data()."""
-        self.fp = None  # type: ignore[assignment]
-
 
 class Exchange:
     """One HTTP request to an endpoint and its response."""
@@ -263,9 +252,22 @@
         while True:
             chunk = self.read_chunk(until)
             if not chunk:
-                return body.pop_all()
+                break
             body.add(chunk)
             self.hold(body.size)
+        content = body.pop_all()
+        if holds_response(content, self._call.identifier):
+            raise _make_restart_error()
+        return content
+
+    def check_events(self, content: bytes) -> None:
+        """Raise EndpointError if another response begins in events.
+
+        An event has no empty line, so that it can't hold a head.
+        """
+        identifier = self._call.identifier
+        if holds_response(content, identifier) or holds_head(content):
+            raise _make_restart_error()
 
     def hold(self, size: int) -> None:
         """Count the bytes of the response that are held until its end.
@@ -326,7 +328,7 @@
         self.hold(0)
         response = self._response
         if response is not None:
-            response.abandon()
+            response.close()
         self._connection.close()
 
     def release(self) -> HTTPConnection | None:
@@ -341,14 +343,14 @@
             self.close()
             return None
         # Data that follow would be parsed as the response to the next request.
-        waiting = response.has_buffered_data() or _peek(self._sock)
-        if waiting:
+        trailing = response.peek_trailing()
+        if trailing:
             logger.info(
                 'data after the response',
                 call=self._call.identifier,
                 received=response.count_received(),
             )
-        if waiting is not None:
+        if trailing != b'':
             self.close()
             return None
         response.close()
@@ -506,6 +508,13 @@
     return False
 
 
+def _make_restart_error() -> EndpointError:
+    return EndpointError(
+        'the response broke off and another one began',
+        ResponseDefect.body_restarted,
+    )
+
+
 def _set_options(sock: Any) -> None:
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     try:
@@ -518,18 +527,14 @@
 
 def _is_silent(sock: socket.socket) -> bool:
     """Return True if a connection is open and has no unread data."""
-    return _peek(sock) is None
-
-
-def _peek(sock: socket.socket) -> bytes | None:
-    """Return a byte of unread data, b'' after its end, None without either."""
     sock.settimeout(0)
     try:
-        return sock.recv(1, socket.MSG_PEEK)
+        sock.recv(1, socket.MSG_PEEK)
     except BlockingIOError:
-        return None
+        return True
     except OSError:
-        return b''
+        return False
+    return False
 
 
 def _make_key(record: EndpointRecord) -> tuple[str, int]:
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -431,6 +431,7 @@
             events = event_splitter.add(content)
             exchange.hold(event_splitter.count_buffered())
             if events.content:
+                exchange.check_events(events.content)
                 now = time.monotonic()
                 if self._has_started:
                     endpoint.pace.observe(events.number, now - progressed_at)
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -1,10 +1,15 @@
 """HTTP responses that are checked to be whole.
 
-http.client takes the end of a connection for the end of a head, and reads a
-body whose length it can't parse until the connection ends.
+http.client takes the end of a connection for the end of a head, reads a body
+whose length it can't parse until the connection ends, and does not notice that
+a response broke off and another one began.
 """
 
+import re
+import select
 import socket
+import time
+from collections.abc import Iterator
 from email.errors import (
     FirstHeaderLineIsContinuationDefect,
     MissingHeaderBodySeparatorDefect,
@@ -23,7 +28,18 @@
 
 #: Longest head, with the heads of interim responses before it.
 MAX_HEAD_BYTES: Final = 65_536
-CHUNKED: Final = 'chunked'
+LINE_END: Final = b'\r\n'
+#: Start of a response: version and status.
+STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
+#: Longest match of STATUS_LINE, with the byte after it.
+STATUS_LINE_BYTES: Final = 13
+#: A body's end that may be the beginning of a status line.
+STATUS_LINE_START: Final = re.compile(
+    rb'H(?:T(?:T(?:P(?:/(?:\d(?:\.(?:\d(?: \d{0,3})?)?)?)?)?)?)?)?\Z'
+)
+#: Time in which the rest of a response that began in a body arrives.
+RESTART_SECONDS: Final = 0.05
+MS_PER_SECOND: Final = 1000.0
 
 _HEAD_DEFECTS: Final = (
     FirstHeaderLineIsContinuationDefect,
@@ -43,6 +59,18 @@
     defect = ResponseDefect.head_malformed
 
 
+class RestartedHeadError(HTTPException):
+    """The head broke off and another response began."""
+
+    defect = ResponseDefect.head_restarted
+
+
+class RestartedBodyError(HTTPException):
+    """The body broke off and another response began."""
+
+    defect = ResponseDefect.body_restarted
+
+
 class InvalidChunkError(HTTPException):
     """The size or the end of a chunk is not valid."""
 
@@ -63,6 +91,51 @@
     return getattr(error, 'defect', ResponseDefect.body_truncated)
 
 
+def holds_response(body: bytes, identifier: str) -> bool:
+    """Return True if the head of a response to a request is in a body.
+
+    The identifier is the request's own, and stands in each such head.
+    """
+    if not identifier:
+        return False
+    own = identifier.encode('latin-1', 'replace')
+    return any(own in head for head in _find_heads(body))
+
+
+def holds_head(body: bytes) -> bool:
+    """Return True if the whole head of any response is in a body."""
+    return any(head.endswith(LINE_END * 2) for head in _find_heads(body))
+
+
+def _find_heads(body: bytes) -> Iterator[bytes]:
+    """Yield what follows each status line, to the end of the head."""
+    for match in STATUS_LINE.finditer(body):
+        rest = body[match.end() :]
+        head, end, _ = rest.partition(LINE_END * 2)
+        yield head + end
+
+
+class HeadReader(BufferedReader):
+    """Keeps the lines that are read until the head ends."""
+
+    def __init__(self, raw: RawIOBase) -> None:
+        """Create a reader that has read nothing."""
+        super().__init__(raw)
+        self._lines: list[bytes] | None = []
+
+    def readline(self, size: int | None = -1, /) -> bytes:
+        """Return the next line, with its end."""
+        line = super().readline(size)
+        if self._lines is not None:
+            self._lines.append(line)
+        return line
+
+    def pop_lines(self) -> list[bytes]:
+        """Return the lines so far, and keep none from now on."""
+        lines, self._lines = self._lines or [], None
+        return lines
+
+
 class SocketReader(RawIOBase):
     """Reads a socket, notes its end and bounds the size of heads."""
 
@@ -71,6 +144,7 @@
         super().__init__()
         self._raw = raw
         self._head_bytes: int | None = 0
+        self._is_paused = False
         #: True once the connection has ended.
         self.has_ended = False
         #: Bytes received so far.
@@ -85,6 +159,8 @@
 
         Raises InvalidHeadError, and TimeoutError.
         """
+        if self._is_paused:
+            raise TimeoutError
         count = self._raw.readinto(buffer)
         if count == 0:
             self.has_ended = True
@@ -99,6 +175,16 @@
         """Read the body from now on, which is not bounded here."""
         self._head_bytes = None
 
+    def peek_buffered(self, reader: BufferedReader) -> bytes:
+        """Return what a reader of this has buffered, without reading more."""
+        self._is_paused = True
+        try:
+            return bytes(reader.peek(1))
+        except (OSError, ValueError):
+            return b''
+        finally:
+            self._is_paused = False
+
     def close(self) -> None:
         """Release the socket."""
         self._raw.close()
@@ -116,15 +202,21 @@
         super().__init__(sock, *args, **kwargs)
         raw = cast(socket.SocketIO, self.fp.detach())
         self._raw = self._wrap_socket(sock, raw)
-        self._reader: BufferedReader = BufferedReader(self._raw)
+        self._sock = sock
+        self._reader = HeadReader(self._raw)
         self.fp = self._reader
+        #: Last bytes of the body.
+        self._tail = b''
+        #: True if a status line was found in the body.
+        self._has_status_line = False
 
     def begin(self) -> None:
         """Read the head and check it.
 
-        Raises TruncatedHeadError and InvalidHeadError.
+        Raises TruncatedHeadError, RestartedHeadError and InvalidHeadError.
         """
         super().begin()
+        _check_lines(self._reader.pop_lines())
         if self._raw.has_ended:
             raise TruncatedHeadError('the connection ended within the head')
         self._raw.finish_head()
@@ -137,13 +229,41 @@
     def read1(self, n: int = -1) -> bytes:  # noqa: WPS111
         """Return the next bytes of the body, or b'' at its end.
 
-        Raises IncompleteRead if the body is shorter than its length.
+        Raises IncompleteRead if the body is shorter than its length, and
+        RestartedBodyError if another response began in it.
         """
         content = super().read1(n)
         if not content and n and self.length:
             raise IncompleteRead(b'', self.length)
+        self._check_restart(content)
         return content
 
+    def read(self, amt: int | None = None) -> bytes:
+        """Return bytes of the body; raises as read1() does."""
+        content = super().read(amt)
+        self._check_restart(content)
+        return content
+
+    def close(self) -> None:
+        """Close the response and its reader."""
+        super().close()
+        self._reader.close()
+
+    def peek_trailing(self) -> bytes | None:
+        """Return received data that were not read, or b'' without any.
+
+        Returns None if the connection has ended. Nothing is consumed.
+        """
+        buffered = self._raw.peek_buffered(self._reader)
+        self._sock.settimeout(0)
+        try:
+            waiting = self._sock.recv(STATUS_LINE_BYTES, socket.MSG_PEEK)
+        except BlockingIOError:
+            return buffered
+        except OSError:
+            waiting = b''
+        return buffered + waiting or None
+
     def count_received(self) -> int:
         """Return the number of bytes received, also of heads before it."""
         return self._raw.received
@@ -154,6 +274,65 @@
         """Return the reader of the response's socket."""
         return SocketReader(raw)
 
+    def _check_restart(self, content: bytes) -> None:
+        """Raise RestartedBodyError if the body's end is another's beginning.
+
+        A body that broke off is filled up to its length with the response that
+        began after it; the rest of that one follows. Without such a rest, the
+        body may as well quote a status line.
+        """
+        if self.chunked or self.length is None:
+            return
+        recent = self._tail + content
+        if STATUS_LINE.search(recent):
+            self._has_status_line = True
+        self._tail = recent[-STATUS_LINE_BYTES:]
+        if self.length or not content:
+            return
+        start = STATUS_LINE_START.search(self._tail)
+        if start is None and not self._has_status_line:
+            return
+        rest = self._wait_trailing(RESTART_SECONDS) or b''
+        if self._has_status_line and rest and not STATUS_LINE.match(rest):
+            raise RestartedBodyError('a response began in the body')
+        match = STATUS_LINE.search(self._tail + rest)
+        if match is not None and match.start() < len(self._tail):
+            raise RestartedBodyError('a response began at the end of the body')
+
+    def _wait_trailing(self, seconds: float) -> bytes | None:
+        """Return the data after the response, once there are any.
+
+        Returns None if the connection has ended, or b'' after some seconds.
+        """
+        until = time.monotonic() + seconds
+        while True:
+            trailing = self.peek_trailing()
+            remaining = until - time.monotonic()
+            if trailing is None or trailing or remaining <= 0:
+                return trailing
+            poll = select.poll()
+            poll.register(self._sock, select.POLLIN)
+            poll.poll(remaining * MS_PER_SECOND)
+
+    def _close_conn(self) -> None:
+        """Keep the reader open for the data after the response."""
+        self.fp = None  # type: ignore[assignment]
+
+    def _get_chunk_left(self) -> int | None:
+        """Return the bytes left in a chunk, or None after the last one.
+
+        Raises InvalidChunkError and IncompleteRead.
+        """
+        if self.chunk_left == 0:
+            # http.client skips these bytes, whatever they are.
+            if self.fp.read(len(LINE_END)) != LINE_END:
+                raise InvalidChunkError('a chunk does not end at its size')
+            self.chunk_left = None
+        return cast(
+            int | None,
+            super()._get_chunk_left(),  # type: ignore[misc]
+        )
+
     def _check_length(self) -> None:
         """Raise InvalidHeadError if the length was stated but not used."""
         lengths = set(self.msg.get_all('content-length', ()))
@@ -195,3 +374,19 @@
     """A connection whose responses are checked to be whole."""
 
     response_class = CheckedResponse
+
+
+def _check_lines(lines: list[bytes]) -> None:
+    """Raise HTTPException if the lines of a head are not those of one.
+
+    A head that broke off runs into the status line of the response after it.
+    """
+    is_start = True
+    for line in lines:
+        if STATUS_LINE.search(line, int(is_start)):
+            raise RestartedHeadError('a response began within the head')
+        text = line.removesuffix(b'\n').removesuffix(b'\r')
+        if b'\r' in text:
+            raise InvalidHeadError('a line of the head has a carriage return')
+        # A final response follows the empty line of an interim one.
+        is_start = not text
