Let tests of restarts end without a short deadline

Callers saw: nothing; the tests failed beside much load (11 of 30 at a load of 41).

Cause: requests had 250 ms, so that a response that is never filled ends soon. At that load some were not sent to the endpoint in that time, and break_off asserts that each is. The stand-in closes the connection after a short failure now, and the requests have the usual deadline.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -141,6 +141,8 @@
         #: Pause before a broken response is written again, or the response
         #: after a copy, in seconds.
         self.restart_seconds = 0.0
+        #: True to close the connection after a response was written again.
+        self.closes_restarted = False
         #: If set, each response breaks off after fewer bytes than this.
         self.break_off_within = 0
         #: Value of the routing confidence header; None for no header.
@@ -278,6 +280,8 @@
             time.sleep(self.restart_seconds)
             writer.left = None
             self._answer(request, 'error' if fault == 'restart_failed' else '')
+            if self.closes_restarted:
+                request.drop()
 
     def _answer(self, request: Request, fault: str) -> None:
         headers = request.handler.headers
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -197,11 +197,7 @@
 
 
 def break_off(
-    relay: RelayHarness,
-    path: str,
-    size: int,
-    fault: str = 'break_off',
-    **options: Any,
+    relay: RelayHarness, path: str, size: int, fault: str = 'break_off'
 ) -> RecordedResponse:
     """Send a request whose response breaks off after some bytes."""
     replica = relay.replicas[0]
@@ -210,7 +206,7 @@
     replica.break_off_at = size
     replica.fault = fault
     before = len(relay.runs())
-    response = relay.send(path, **options)
+    response = relay.send(path)
     assert len(relay.runs()) > before
     return response
 
--- a/tests/test_restarted_responses.py
+++ b/tests/test_restarted_responses.py
@@ -15,8 +15,6 @@
 LONG_BODY = 700
 #: More bytes than any response to a short request has.
 MAX_BYTES = 300
-#: Deadline of requests whose responses may not end.
-DEADLINE_MS = 250
 #: Pause before a response is written again, in seconds.
 PAUSES = (0.0, 0.02)
 #: Bodies that look as if a response began in them.
@@ -48,7 +46,7 @@
     """Check that only whole responses pass, whatever had been sent before."""
     wrong = []
     for size in sizes:
-        response = break_off(relay, path, size, fault, deadline_ms=DEADLINE_MS)
+        response = break_off(relay, path, size, fault)
         if response.is_finished and not is_whole(response, body):
             wrong.append((size, response.status, response.body))
     assert not wrong
@@ -76,6 +74,8 @@
     ) -> None:
         relay.replicas[0].restart_seconds = pause
         relay.replicas[0].body_bytes = LONG_BODY
+        # A failure may be too short for what is due, which only time would end.
+        relay.replicas[0].closes_restarted = fault == 'restart_failed'
         body = BODY.ljust(LONG_BODY, b'.')
         sizes = range(1, LONG_BODY + 260, 11)
         check_sizes(relay, '/book/x', fault, body, sizes)
@@ -90,11 +90,10 @@
         replica.restart_seconds = pause
         replica.event_delay = 0.0
         replica.is_framed = is_framed
+        replica.closes_restarted = fault == 'restart_failed'
         wrong = []
         for size in list_sizes(MAX_BYTES + 60, pause):
-            response = break_off(
-                relay, '/draft/x', size, fault, deadline_ms=DEADLINE_MS
-            )
+            response = break_off(relay, '/draft/x', size, fault)
             if not EVENTS.startswith(response.body) or (
                 response.is_finished and response.body != EVENTS
             ):
