Search bodies for quoted heads in linear time

Callers saw an entry stand still: a sound body of 1 MB that holds nothing but status lines, such as a log, kept the interpreter busy for 56 s (100 KB: 0.8 s), since each status line was searched from there to the end of the body. A body that quotes a head was refused if the request's id was part of any word in it: id 1 in 'Content-Length: 10'.

A quoted head ends at the next status line now, and the id has to be the value of a header. 1 MB takes 0.06 s. The new tests failed before.

--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -22,6 +22,7 @@
     IncompleteRead,
 )
 from io import BufferedReader, RawIOBase
+from itertools import pairwise
 from typing import Any, Final, cast
 
 from ..errors import ResponseDefect
@@ -98,8 +99,9 @@
     """
     if not identifier:
         return False
-    own = identifier.encode('latin-1', 'replace')
-    return any(own in head for head in _find_heads(body))
+    own = re.escape(identifier.encode('latin-1', 'replace'))
+    header = re.compile(rb':\s*%b(?:\s|\Z)' % own)
+    return any(header.search(head) for head in _find_heads(body))
 
 
 def holds_head(body: bytes) -> bool:
@@ -108,11 +110,11 @@
 
 
 def _find_heads(body: bytes) -> Iterator[bytes]:
-    """Yield what follows each status line, to the end of the head."""
-    for match in STATUS_LINE.finditer(body):
-        rest = body[match.end() :]
-        head, end, _ = rest.partition(LINE_END * 2)
-        yield head + end
+    """Yield each status line and what follows, to the end of the head."""
+    starts = [match.start() for match in STATUS_LINE.finditer(body)]
+    for start, end in pairwise((*starts, len(body))):
+        head, blank_line, _ = body[start:end].partition(LINE_END * 2)
+        yield head + blank_line
 
 
 class HeadReader(BufferedReader):
--- a/standins/rawserver.py
+++ b/standins/rawserver.py
@@ -10,7 +10,6 @@
 
 from .calls import find_port
 
-
 HEAD_END: Final = b'\r\n\r\n'
 CONTENT_LENGTH: Final = re.compile(rb'(?i)\r\ncontent-length: (\d+)')
 RECEIVE_BYTES: Final = 65_536
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -1,6 +1,7 @@
 """Callers get whole answers of their own, whatever an endpoint repeats."""
 
 import re
+import time
 from collections.abc import Iterator
 from typing import Final, NamedTuple
 
@@ -11,6 +12,7 @@
 from standins.rawserver import Piece, Script, ScriptedServer
 from standins.replica import SIGNATURE, make_record
 from toucancourse.errors import Outcome
+from toucancourse.interfaces.responses import holds_response
 
 from .forwarding import RecordedResponse, RelayHarness
 
@@ -25,6 +27,8 @@
 #: Where pieces are split: at any byte, or near the end of a body.
 MAX_PIECES: Final = 3
 MAX_BYTES: Final = 1200
+#: Longest search of a body of 1 MB, in seconds of processor time.
+MAX_SEARCH_SECONDS: Final = 1
 STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
 HEAD_START: Final = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)[^\r\n]*\r\n')
 
@@ -268,3 +272,30 @@
     @given(play=draw_plays((EVENTS,)))
     def test_stream_is_whole_and_own(self, stage: Stage, play: Play) -> None:
         check(play, stage.send('/draft/x', play))
+
+
+class TestQuotedHeads:
+    """Bodies that quote responses are searched for the request's own only."""
+
+    # Guards against a process that stands still for a body of status lines.
+    def test_search_takes_time_in_proportion_to_the_body(self) -> None:
+        body = b'HTTP/1.1 200 OK\r\n' * 60_000
+        started_at = time.process_time()
+        assert not holds_response(body, OWN_ID)
+        assert time.process_time() - started_at < MAX_SEARCH_SECONDS
+
+    # Guards against refusing quotes in which an id is part of something else.
+    @pytest.mark.parametrize(
+        'quote', [b'Content-Length: 10', b'X-Attempt-Id: 17', b'X-Attempt: 71']
+    )
+    def test_id_that_is_part_of_another_is_not_found(
+        self, quote: bytes
+    ) -> None:
+        body = b'HTTP/1.1 200 OK\r\n' + quote + b'\r\n\r\nbody'
+        assert not holds_response(body, '1')
+
+    @pytest.mark.parametrize(
+        'header', [b'X-Attempt-Id: 1\r\n', b'X-Attempt-Id:1\r\n', b'X: 1']
+    )
+    def test_own_id_is_found(self, header: bytes) -> None:
+        assert holds_response(b'cutHTTP/1.1 200 OK\r\n' + header, '1')
