Reject copies of other answers in events and in bodies without a length

Callers got a success whose body was the endpoint's own, without a length, and after it the whole answer to the request before, which arrived before the connection's end; and finished streams whose first event began with the cut head of that answer ('HTTP/1.1 200 OK\r\nid: 1\n...'). Only heads with the request's own id, or whole ones in events, were searched for.

A status line with its CRLF ends a response in both places now: lines of events end without a carriage return. A sound body without a length that quotes such a line is refused from now on; with a length it passes as before.

--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -15,8 +15,8 @@
     SocketReader,
     find_body_defect,
     find_head_defect,
-    holds_head,
     holds_response,
+    holds_status_line,
 )
 from .buffers import PieceBuffer, ResponseBuffers
 from .messages import Codec
@@ -256,17 +256,21 @@
             body.add(chunk)
             self.hold(body.size)
         content = body.pop_all()
-        if holds_response(content, self._call.identifier):
+        if self.ends_with_connection():
+            self.check_events(content)
+        elif holds_response(content, self._call.identifier):
             raise _make_restart_error()
         return content
 
     def check_events(self, content: bytes) -> None:
         """Raise EndpointError if another response begins in events.
 
-        An event has no empty line, so that it can't hold a head.
+        Their lines end without a carriage return, so that they can't hold a
+        status line. A body without a length may, but more likely another
+        response follows it.
         """
         identifier = self._call.identifier
-        if holds_response(content, identifier) or holds_head(content):
+        if holds_response(content, identifier) or holds_status_line(content):
             raise _make_restart_error()
 
     def hold(self, size: int) -> None:
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -32,6 +32,10 @@
 LINE_END: Final = b'\r\n'
 #: Start of a response: version and status.
 STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
+#: The same with its reason and its end.
+WHOLE_STATUS_LINE: Final = re.compile(
+    rb'HTTP/\d\.\d \d{3}(?!\d)[^\r\n]{0,256}\r\n'
+)
 #: Longest match of STATUS_LINE, with the byte after it.
 STATUS_LINE_BYTES: Final = 13
 #: A body's end that may be the beginning of a status line.
@@ -104,9 +108,9 @@
     return any(header.search(head) for head in _find_heads(body))
 
 
-def holds_head(body: bytes) -> bool:
-    """Return True if the whole head of any response is in a body."""
-    return any(head.endswith(LINE_END * 2) for head in _find_heads(body))
+def holds_status_line(body: bytes) -> bool:
+    """Return True if a whole status line, with its end, is in a body."""
+    return bool(WHOLE_STATUS_LINE.search(body))
 
 
 def _find_heads(body: bytes) -> Iterator[bytes]:
