Await the rest of a status line that comes in pieces

Callers got bodies whose last bytes were the first 3 to 10 of a second answer (11 and more bytes were told by other checks) if one more byte of it came before the others: only what had arrived first was compared with a status line. A whole answer that ends in 'H' shortly before the deadline was lost with 504, since the wait for a rest went on beyond it.

The rest is awaited until it can't be a status line any more, for 50 ms as before but for half of the time that remains at most. Data after a body that holds a status line always reject it: a second answer that broke off where the body is due to end, before a third one, passed for a quote.

--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -5,6 +5,7 @@
 a response broke off and another one began.
 """
 
+import math
 import re
 import select
 import socket
@@ -44,6 +45,8 @@
 )
 #: Time in which the rest of a response that began in a body arrives.
 RESTART_SECONDS: Final = 0.05
+#: Pause before data that go on are looked for again.
+RECHECK_SECONDS: Final = 0.002
 MS_PER_SECOND: Final = 1000.0
 
 _HEAD_DEFECTS: Final = (
@@ -155,6 +158,8 @@
         self.has_ended = False
         #: Bytes received so far.
         self.received = 0
+        #: time.monotonic() after which no data are awaited.
+        self.until = math.inf
 
     def readable(self) -> bool:
         """Return True."""
@@ -295,27 +300,55 @@
         self._tail = recent[-STATUS_LINE_BYTES:]
         if self.length or not content:
             return
-        start = STATUS_LINE_START.search(self._tail)
-        if start is None and not self._has_status_line:
-            return
-        rest = self._wait_trailing(RESTART_SECONDS) or b''
-        if self._has_status_line and rest and not STATUS_LINE.match(rest):
-            raise RestartedBodyError('a response began in the body')
-        match = STATUS_LINE.search(self._tail + rest)
-        if match is not None and match.start() < len(self._tail):
-            raise RestartedBodyError('a response began at the end of the body')
-
-    def _wait_trailing(self, seconds: float) -> bytes | None:
-        """Return the data after the response, once there are any.
-
-        Returns None if the connection has ended, or b'' after some seconds.
+        if self._has_status_line or self._find_start(b'') is not None:
+            self._check_trailing()
+
+    def _check_trailing(self) -> None:
+        """Raise RestartedBodyError if data follow that go on with a head."""
+        now = time.monotonic()
+        until = now + min(RESTART_SECONDS, (self._raw.until - now) / 2)
+        rest = b''
+        while True:
+            known = len(rest)
+            rest = self._wait_trailing(until, known) or b''
+            if rest and self._has_status_line:
+                raise RestartedBodyError('a response began in the body')
+            start = self._find_start(rest)
+            if start is None:
+                return
+            is_whole = bool(STATUS_LINE.match(self._tail + rest, start))
+            if is_whole or (rest and len(rest) == known):
+                raise RestartedBodyError("a response began at the body's end")
+            if not rest:
+                return
+
+    def _find_start(self, rest: bytes) -> int | None:
+        """Return where a status line begins in the tail, or None.
+
+        The rest is what follows the body so far.
+        """
+        recent = self._tail + rest
+        for pattern in (STATUS_LINE, STATUS_LINE_START):
+            match = pattern.search(recent)
+            if match is not None and match.start() < len(self._tail):
+                return match.start()
+        return None
+
+    def _wait_trailing(self, until: float, known: int) -> bytes | None:
+        """Return the data after the response, once more of them are there.
+
+        Returns None if the connection has ended without any, or what was
+        known at a time.monotonic().
         """
-        until = time.monotonic() + seconds
         while True:
             trailing = self.peek_trailing()
             remaining = until - time.monotonic()
-            if trailing is None or trailing or remaining <= 0:
+            if trailing is None or len(trailing) > known or remaining <= 0:
                 return trailing
+            if known:
+                # A poll would return at once, for the known data.
+                time.sleep(min(remaining, RECHECK_SECONDS))
+                continue
             poll = select.poll()
             poll.register(self._sock, select.POLLIN)
             poll.poll(remaining * MS_PER_SECOND)
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -226,7 +226,9 @@
         self.arrivals = 0
         self._born = 1
 
-    def send(self, path: str, play: Play) -> RecordedResponse:
+    def send(
+        self, path: str, play: Play, script: Script | None = None
+    ) -> RecordedResponse:
         """Send a request on a new connection, or on one that served another."""
         server = ScriptedServer()
         self._born += 1
@@ -236,8 +238,9 @@
         earlier = Answer(200, 'length', 0, BODIES[0], OTHER_ID)
         if play.is_reused:
             server.scripts = [Script([Piece(earlier.write())])]
-            assert self.relay.send('/look/x', X_Attempt_Id=OTHER_ID).is_finished
-        server.scripts.append(play.write_script())
+            warmed_up = self.relay.send('/book/x', X_Attempt_Id=OTHER_ID)
+            assert warmed_up.is_finished, warmed_up.error
+        server.scripts.append(script or play.write_script())
         response = self.relay.send(
             path, X_Attempt_Id=OWN_ID, deadline_ms=DEADLINE_MS
         )
@@ -340,3 +343,41 @@
             response = stage.send('/draft/x', make_play(answer, sent))
             assert not response.is_finished
             assert not response.body
+
+
+class TestRestInPieces:
+    """The rest of a status line that began in a body comes byte by byte."""
+
+    # Guards against a body that is filled up by the start of a second answer,
+    # the rest of which comes in pieces.
+    @pytest.mark.parametrize('missing', range(1, 14))
+    def test_body_is_not_filled_up(self, stage: Stage, missing: int) -> None:
+        answer = Answer(200, 'length', 0, BODIES[0])
+        whole = answer.write()
+        sent = whole.ljust(MAX_BYTES, b'.')[: len(whole) - missing] + whole
+        splits = (len(whole), len(whole) + 1, len(whole) + 2)
+        response = stage.send('/book/x', make_play(answer, sent, *splits))
+        assert not response.is_finished
+
+    # Guards against whole answers that are lost as the wait for a rest lasts
+    # beyond the request's time.
+    def test_rest_is_not_awaited_until_the_deadline(self, stage: Stage) -> None:
+        answer = Answer(200, 'length', 0, (b'it ends with H',))
+        whole = answer.write()
+        late = Piece(whole[-1:], DEADLINE_MS / 1000 - 0.06)
+        script = Script([Piece(whole[:-1]), late])
+        play = make_play(answer, whole)
+        assert stage.send('/book/x', play, script).is_finished
+
+    # Guards against refusing sound answers that garbage follows in pieces.
+    @pytest.mark.parametrize('garbage', [b'garbage', b'HTTP/1.1 200 OK'])
+    @pytest.mark.parametrize('end', [b'H', b'HTTP', b'HTTP/1.1 20'])
+    def test_garbage_in_pieces_is_ignored(
+        self, stage: Stage, end: bytes, garbage: bytes
+    ) -> None:
+        answer = Answer(200, 'length', 0, (b'it ends with ' + end,))
+        whole = answer.write()
+        play = make_play(answer, whole + garbage, len(whole))
+        response = stage.send('/book/x', play)
+        assert response.is_finished
+        assert response.body == answer.body
