Take no late data on the store's connection for an answer

Callers saw: an append that the store had refused counted as done, and a long poll returned an old page, which also renewed the freshness proof.

Cause: StoreTopic keeps a connection for calls without ids. The second copy of an answer that came late, between two calls, was read as the answer to the next call. Copies that came at once were dropped from a buffer, but only as far as they fitted into it. The class of fault: the place of bytes on a connection was taken for proof of which response they belong to.

Change: a connection that has ended or has unread data is not used for a call. Data after a response close it, with a log line. On a connection that had calls before, two answers to one call are an error, since either may be that to an earlier call. No call is added, and silent connections are kept as before.

--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -255,14 +255,8 @@
         Returns None if the connection has ended. Nothing is consumed.
         """
         buffered = self._raw.peek_buffered(self._reader)
-        self._sock.settimeout(0)
-        try:
-            waiting = self._sock.recv(STATUS_LINE_BYTES, socket.MSG_PEEK)
-        except BlockingIOError:
-            return buffered
-        except OSError:
-            waiting = b''
-        return buffered + waiting or None
+        waiting = _peek_waiting(self._sock)
+        return buffered or None if waiting is None else buffered + waiting
 
     def count_received(self) -> int:
         """Return the number of bytes received, also of heads before it."""
@@ -375,6 +369,32 @@
 
     response_class = CheckedResponse
 
+    def getresponse(self) -> CheckedResponse:
+        """Return the response to the last request, with its head read.
+
+        Raises OSError and HTTPException.
+        """
+        return cast(CheckedResponse, super().getresponse())
+
+    def peek_unread(self) -> bytes | None:
+        """Return data that came since the last response, or b'' without any.
+
+        Returns None if the connection is not open or has ended. Sets the
+        socket's timeout to 0.
+        """
+        return None if self.sock is None else _peek_waiting(self.sock)
+
+
+def _peek_waiting(sock: socket.socket) -> bytes | None:
+    """Return data that wait in a socket; None if the connection has ended."""
+    sock.settimeout(0)
+    try:
+        return sock.recv(STATUS_LINE_BYTES, socket.MSG_PEEK) or None
+    except BlockingIOError:
+        return b''
+    except OSError:
+        return None
+
 
 def _check_lines(lines: list[bytes]) -> None:
     """Raise HTTPException if the lines of a head are not those of one.
--- a/src/toucancourse/platform/store.py
+++ b/src/toucancourse/platform/store.py
@@ -9,8 +9,10 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlencode
 
+from loguru import logger
+
 from ..errors import DECODE_ERRORS, LogDownError
-from ..interfaces.responses import CheckedConnection
+from ..interfaces.responses import CheckedConnection, CheckedResponse
 from ..membership.topics import ExpiredError, Record, Records, Topic
 
 #: Timeout of a call, added to the wait of a long poll. A call usually takes
@@ -24,6 +26,10 @@
 PARTITION: Final = '0'
 
 
+class _OtherAnswerError(ValueError):
+    """The answer may be that to another call."""
+
+
 class _StoreResponse(NamedTuple):
     status: int
     body: bytes
@@ -42,6 +48,9 @@
         self._topic = topic
         self._lock = threading.Lock()
         self._connection: CheckedConnection | None = None
+        #: Number of calls on the connection. The answer to the first can't be
+        #: that to an earlier call.
+        self._calls = 0
 
     def fetch_newest(self) -> Records:
         """Return the newest record of each key, read page by page.
@@ -131,25 +140,63 @@
                     method, f'{path}?{urlencode(full_query)}', body
                 )
                 response = connection.getresponse()
-                return _StoreResponse(response.status, response.read())
-            except (OSError, HTTPException) as error:
+                content = response.read()
+                self._check_trailing(response)
+                return _StoreResponse(response.status, content)
+            except (OSError, HTTPException, _OtherAnswerError) as error:
                 # After a failed or timed out call the connection is unusable: a
                 # late response would be taken for that of the next call.
-                connection.close()
-                self._connection = None
+                self._drop_connection()
                 raise LogDownError(
                     f'call for topic "{self._topic}" failed: {error!r}'
                 ) from error
 
+    def _check_trailing(self, response: CheckedResponse) -> None:
+        """Drop the connection if it ended or data follow the response.
+
+        Raises _OtherAnswerError if those may be the answer to the call.
+        """
+        trailing = response.peek_trailing()
+        response.close()
+        if trailing == b'' and not response.will_close:
+            return
+        self._drop_connection()
+        if not trailing:
+            return
+        logger.warning(
+            'data after the response of the store',
+            topic=self._topic,
+            received=response.count_received(),
+        )
+        if self._calls > 1:
+            raise _OtherAnswerError('two answers to one call')
+
     def _get_connection(self, timeout: float) -> CheckedConnection:
-        """Return the open or a new connection, with a timeout in seconds."""
+        """Return the open or a new connection, with a timeout in seconds.
+
+        An open one that has ended, or has unread data, is not used again.
+        """
+        unread = self._connection and self._connection.peek_unread()
+        if unread:
+            logger.warning(
+                'late data from the store', topic=self._topic, start=unread
+            )
+        if unread != b'':
+            self._drop_connection()
         if self._connection is None:
             self._connection = CheckedConnection(self._host, self._port)
+            self._calls = 0
+        self._calls += 1
         self._connection.timeout = timeout
         if self._connection.sock is not None:
             self._connection.sock.settimeout(timeout)
         return self._connection
 
+    def _drop_connection(self) -> None:
+        if self._connection is not None:
+            self._connection.close()
+        self._connection = None
+
 
 def _decode_item(item: dict[str, Any]) -> Record:
     content = base64.b64decode(item['value'])
--- /dev/null
+++ b/tests/test_restarted_readers.py
@@ -0,0 +1,149 @@
+"""Clients of HTTP services take no answer that is another's or two in one."""
+
+import time
+from collections.abc import Iterator
+from typing import Any
+
+import pytest
+from loguru import logger
+
+from standins.rawserver import RawServer
+from toucancourse.errors import LogDownError
+from toucancourse.membership.topics import Record
+from toucancourse.platform.store import StoreTopic
+
+#: Pause after which a second answer is late.
+LATE_SECONDS = 0.03
+#: Longer than any pause of the server.
+SETTLE_SECONDS = 0.12
+#: Records that are longer than the read buffer of a connection.
+LONG_RECORD = b'v' * 20_000
+
+
+def make_sized(body: bytes, status: bytes = b'200 OK') -> bytes:
+    """Return the bytes of a response with a length."""
+    head = b'HTTP/1.1 %b\r\nContent-Length: %d\r\n\r\n'
+    return head % (status, len(body)) + body
+
+
+def make_appended(offset: int) -> bytes:
+    """Return the store's answer to an append."""
+    body = b'{"offset": %d, "endOffset": %d}' % (offset, offset + 1)
+    return make_sized(body)
+
+
+def make_page(end: int, *contents: bytes) -> bytes:
+    """Return the store's answer to a read, with records of the key "k"."""
+    records = b''.join(
+        (len(content) + 2).to_bytes(4) + b'\x01k' + content
+        for content in contents
+    )
+    return make_sized(end.to_bytes(8) + (0).to_bytes(8) + records)
+
+
+UNAVAILABLE = make_sized(b'{}', b'503 Service Unavailable')
+
+
+@pytest.fixture
+def server() -> Iterator[RawServer]:
+    """Return a server of given bytes."""
+    server = RawServer()
+    yield server
+    server.close()
+
+
+@pytest.fixture
+def topic(server: RawServer) -> StoreTopic:
+    """Return a client of the server."""
+    return StoreTopic(server.address, 'topic')
+
+
+@pytest.fixture
+def lines() -> Iterator[list[dict[str, Any]]]:
+    """Return the fields of the log lines, each with its message."""
+    lines: list[dict[str, Any]] = []
+
+    def add_line(message: Any) -> None:
+        record = message.record
+        lines.append({'message': record['message'], **record['extra']})
+
+    sink = logger.add(add_line, level='DEBUG')
+    yield lines
+    logger.remove(sink)
+
+
+class TestStoreConnections:
+    """Calls of the store take no data that were there before the call."""
+
+    # Guards against an append that counts as done by the answer before.
+    def test_late_copy_between_appends_is_not_the_next_answer(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        appended = make_appended(0)
+        server.script = [[appended, LATE_SECONDS, appended], [UNAVAILABLE]]
+        assert topic.append('k', b'one')
+        time.sleep(SETTLE_SECONDS)
+        with pytest.raises(LogDownError):
+            topic.append('k', b'two')
+        assert server.requests == 2
+
+    # Guards against an old page that proves that nothing newer exists.
+    def test_late_copy_between_reads_is_not_the_next_page(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        empty = make_page(0)
+        server.script = [[empty, LATE_SECONDS, empty], [make_page(1, b'new')]]
+        assert not topic.read(0, 0.1).records
+        time.sleep(SETTLE_SECONDS)
+        assert topic.read(0, 0.1).records == (Record('k', b'new', 0),)
+        assert server.requests == 2
+
+    # Guards against the same where a connection is only looked at once.
+    @pytest.mark.parametrize('content', [b'', LONG_RECORD])
+    def test_copy_at_once_costs_no_call(
+        self,
+        server: RawServer,
+        topic: StoreTopic,
+        lines: list[dict[str, Any]],
+        content: bytes,
+    ) -> None:
+        page = make_page(1, content)
+        server.script = [[page + page], [make_page(2, b'new')]]
+        topic.read(0, 0.1)
+        assert topic.read(1, 0.1).records == (Record('k', b'new', 1),)
+        assert server.connections == server.requests == 2
+        assert any('data after' in line['message'] for line in lines)
+
+    # Guards against calls that fail since the connection ended before them.
+    def test_ended_connection_is_not_used(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        server.content = make_appended(0)
+        assert topic.append('k', b'one')
+        time.sleep(SETTLE_SECONDS)
+        server.content = make_appended(1)
+        assert topic.append('k', b'two')
+
+    # Guards against a connection for each call.
+    def test_silent_connection_is_kept(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        server.script = [[make_appended(number)] for number in range(5)]
+        for _ in range(5):
+            assert topic.append('k', b'content')
+        assert server.connections == 1
+
+    # Guards against one of two answers that is taken for the call's own.
+    def test_two_answers_on_a_used_connection_are_an_error(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        empty = make_page(0)
+        server.script = [
+            [empty],
+            [empty + make_page(1, b'new')],
+            [make_page(1, b'new')],
+        ]
+        topic.read(0, 0.1)
+        with pytest.raises(LogDownError):
+            topic.read(0, 0.1)
+        assert topic.read(0, 0.1).records == (Record('k', b'new', 0),)
