Tell the store's answers to earlier calls by their offsets

Callers saw: an append counted as done by the answer to the append before, an append that was done counted as refused, records were applied again at later offsets, and keys were missing from the newest records. All need a store that answers twice, the second time while the next call is in flight.

Cause: calls have no ids, and the client ignored the offsets of the answers; that of an append was not even decoded, so any body with a 200 was a success.

Change: the store is linearizable, so that on a connection with earlier calls an answer is an error if the topic ends before an end already known, if an append's offset is before it or not the one asked for, if a refused append's condition is met, if a page has records after its end, or if it begins with the key that it should follow. The connection is dropped then, and with any answer that can't be decoded. The first answer on a connection can't be another's, and passes.

An append in the tests of cut responses has the store's body now; an empty one was no answer of the store, and is an error.

Not told: an empty page, or a refusal with 503, that is the copy of an equal one.

--- a/src/toucancourse/platform/store.py
+++ b/src/toucancourse/platform/store.py
@@ -4,9 +4,11 @@
 import json
 import struct
 import threading
+from collections.abc import Callable
+from functools import partial
 from http import HTTPStatus
 from http.client import HTTPException
-from typing import Any, Final, NamedTuple
+from typing import Any, Final, NamedTuple, TypeVar
 from urllib.parse import urlencode
 
 from loguru import logger
@@ -25,6 +27,9 @@
 #: The only partition of the keyed topics.
 PARTITION: Final = '0'
 
+_Decoded = TypeVar('_Decoded')
+_CALL_ERRORS: Final = (OSError, HTTPException, struct.error, *DECODE_ERRORS)
+
 
 class _OtherAnswerError(ValueError):
     """The answer may be that to another call."""
@@ -35,6 +40,12 @@
     body: bytes
 
 
+class _KeyPage(NamedTuple):
+    records: tuple[Record, ...]
+    end: int
+    has_more: bool
+
+
 class StoreTopic(Topic):
     """One keyed topic, read and written over a single keep-alive connection.
 
@@ -51,6 +62,8 @@
         #: Number of calls on the connection. The answer to the first can't be
         #: that to an earlier call.
         self._calls = 0
+        #: The topic's end as of the newest answer.
+        self._end = 0
 
     def fetch_newest(self) -> Records:
         """Return the newest record of each key, read page by page.
@@ -62,20 +75,15 @@
         end = -1
         while True:
             query = {'after': after} if after else {}
-            response = self._send_request('GET', '/log-newest', query)
-            self._check_status(response)
-            try:
-                page = json.loads(response.body)
-                records.extend(_decode_item(item) for item in page['items'])
-                if end < 0:
-                    end = int(page['endOffset'])
-                if not page.get('hasMore') or not page['items']:
-                    return Records(tuple(records), end)
-                after = records[-1].key
-            except DECODE_ERRORS as error:
-                raise LogDownError(
-                    f'topic "{self._topic}": invalid page from store: {error!r}'
-                ) from error
+            page = self._send_request(
+                'GET', '/log-newest', partial(self._decode_keys, after), query
+            )
+            records.extend(page.records)
+            if end < 0:
+                end = page.end
+            if not page.has_more or not page.records:
+                return Records(tuple(records), end)
+            after = records[-1].key
 
     def read(self, start: int, wait_seconds: float) -> Records:
         """Return the records from an offset on, in a long poll if none exist.
@@ -83,21 +91,13 @@
         Raises ExpiredError if the topic begins later, and LogDownError.
         """
         wait_ms = int(wait_seconds * 1000)
-        response = self._send_request(
+        return self._send_request(
             'GET',
             '/log-read',
+            partial(self._decode_page, start),
             {'source': start, 'waitMs': wait_ms},
             wait_seconds=wait_seconds,
         )
-        if response.status == HTTPStatus.GONE:
-            raise ExpiredError(f'topic "{self._topic}" begins after {start}')
-        self._check_status(response)
-        try:
-            return _decode_records(response.body, start)
-        except struct.error as error:
-            raise LogDownError(
-                f'topic "{self._topic}": truncated page from store: {error}'
-            ) from error
 
     def append(
         self, key: str, content: bytes | None, at: int | None = None
@@ -110,12 +110,65 @@
         record = bytes([len(name)]) + name + (content or b'')
         body = RECORD_LENGTH.pack(len(record)) + record
         condition = {} if at is None else {'at': at}
-        response = self._send_request('POST', '/log-append', condition, body)
+        return self._send_request(
+            'POST',
+            '/log-append',
+            partial(self._decode_appended, at),
+            condition,
+            body,
+        )
+
+    def _decode_keys(self, after: str, response: _StoreResponse) -> _KeyPage:
+        """Return the newest records of the keys after one."""
+        self._check_status(response)
+        page = json.loads(response.body)
+        records = tuple(_decode_item(item) for item in page['items'])
+        end = int(page['endOffset'])
+        self._check_own(all(record.key != after for record in records))
+        self._record_end(end)
+        return _KeyPage(records, end, bool(page.get('hasMore')))
+
+    def _decode_page(self, start: int, response: _StoreResponse) -> Records:
+        """Return the records from an offset on; raise ExpiredError."""
+        if response.status == HTTPStatus.GONE:
+            raise ExpiredError(f'topic "{self._topic}" begins after {start}')
+        self._check_status(response)
+        end, _ = PAGE_HEADER.unpack_from(response.body)
+        records = _decode_records(response.body, start)
+        next_offset = start + len(records)
+        self._check_own(next_offset <= end)
+        self._record_end(end)
+        return Records(records, max(end, next_offset))
+
+    def _decode_appended(
+        self, at: int | None, response: _StoreResponse
+    ) -> bool:
+        """Return True for an appended record, False if the topic has grown."""
         if response.status == HTTPStatus.PRECONDITION_FAILED:
+            end = int(json.loads(response.body)['endOffset'])
+            self._check_own(at is not None and at < end)
+            self._record_end(end)
             return False
         self._check_status(response)
+        appended = json.loads(response.body)
+        offset = int(appended['offset'])
+        self._check_own(offset >= self._end and at in {None, offset})
+        self._record_end(int(appended['endOffset']))
         return True
 
+    def _record_end(self, end: int) -> None:
+        """Record the topic's end, which is never before an earlier one."""
+        self._check_own(end >= self._end)
+        self._end = end
+
+    def _check_own(self, is_plausible: bool) -> None:
+        """Raise _OtherAnswerError if an answer is that to an earlier call.
+
+        The first answer on a connection can't be, whatever its offsets.
+        """
+        if self._calls > 1 and not is_plausible:
+            raise _OtherAnswerError('the answer is that to another call')
+
     def _check_status(self, response: _StoreResponse) -> None:
         if response.status != HTTPStatus.OK:
             raise LogDownError(
@@ -126,10 +179,12 @@
         self,
         method: str,
         path: str,
+        decode: Callable[[_StoreResponse], _Decoded],
         query: dict[str, Any],
         body: bytes | None = None,
         wait_seconds: float = 0,
-    ) -> _StoreResponse:
+    ) -> _Decoded:
+        """Return the decoded answer to a call; raise LogDownError."""
         full_query = {'topic': self._topic, 'part': PARTITION, **query}
         with self._lock:
             connection = self._get_connection(
@@ -142,8 +197,8 @@
                 response = connection.getresponse()
                 content = response.read()
                 self._check_trailing(response)
-                return _StoreResponse(response.status, content)
-            except (OSError, HTTPException, _OtherAnswerError) as error:
+                return decode(_StoreResponse(response.status, content))
+            except _CALL_ERRORS as error:
                 # After a failed or timed out call the connection is unusable: a
                 # late response would be taken for that of the next call.
                 self._drop_connection()
@@ -203,10 +258,8 @@
     return Record(str(item['key']), content, int(item['offset']))
 
 
-def _decode_records(body: bytes, start: int) -> Records:
-    end, _ = PAGE_HEADER.unpack_from(body)
+def _decode_records(body: bytes, start: int) -> tuple[Record, ...]:
     position = PAGE_HEADER.size
-    offset = start
     records: list[Record] = []
     while position < len(body):
         length = RECORD_LENGTH.unpack_from(body, position)[0]
@@ -215,9 +268,8 @@
         if len(record) < length:
             raise struct.error(f'{len(record)} of {length} bytes of a record')
         position += length
-        records.append(_decode_record(record, offset))
-        offset += 1
-    return Records(tuple(records), max(end, offset))
+        records.append(_decode_record(record, start + len(records)))
+    return tuple(records)
 
 
 def _decode_record(record: bytes, offset: int) -> Record:
--- a/tests/test_cut_responses.py
+++ b/tests/test_cut_responses.py
@@ -187,11 +187,12 @@
 
 RECORD = b'\x00\x00\x00\x08\x03keybody'
 PAGE = (1).to_bytes(8) + (0).to_bytes(8) + RECORD
+APPENDED = json.dumps({'offset': 0, 'endOffset': 1}).encode()
 NEWEST = json.dumps({'items': [], 'endOffset': 1}).encode()
 READERS: tuple[tuple[Callable[[str], object], bytes], ...] = (
     (read_store, NEWEST),
     (read_log, PAGE),
-    (append, b''),
+    (append, APPENDED),
     (read_json, NEWEST),
     (read_endpoint, NEWEST),
     (read_entry, NEWEST),
--- a/tests/test_restarted_readers.py
+++ b/tests/test_restarted_readers.py
@@ -32,6 +32,11 @@
     return make_sized(body)
 
 
+def make_refused(end: int) -> bytes:
+    """Return the store's answer to an append whose condition is not met."""
+    return make_sized(b'{"endOffset": %d}' % end, b'412 Precondition Failed')
+
+
 def make_page(end: int, *contents: bytes) -> bytes:
     """Return the store's answer to a read, with records of the key "k"."""
     records = b''.join(
@@ -147,3 +152,77 @@
         with pytest.raises(LogDownError):
             topic.read(0, 0.1)
         assert topic.read(0, 0.1).records == (Record('k', b'new', 0),)
+
+
+class TestStoreAnswers:
+    """Answers tell by their offsets if they belong to an earlier call."""
+
+    # Guards against an append that counts as done by a copy in flight.
+    @pytest.mark.parametrize('at', [None, 1])
+    def test_copy_before_the_answer_of_an_append_is_an_error(
+        self, server: RawServer, topic: StoreTopic, at: int | None
+    ) -> None:
+        appended = make_appended(0)
+        server.script = [
+            [appended],
+            [appended, LATE_SECONDS, UNAVAILABLE],
+            [make_appended(1)],
+        ]
+        assert topic.append('k', b'one')
+        with pytest.raises(LogDownError):
+            topic.append('k', b'two', at)
+        assert topic.append('k', b'two', at)
+        assert server.connections == 2
+
+    # Guards against an append that was done and counts as refused.
+    def test_copy_of_a_refusal_is_an_error(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        server.script = [[make_refused(5)], [make_refused(5)]]
+        assert not topic.append('k', b'one', 3)
+        with pytest.raises(LogDownError):
+            topic.append('k', b'two', 5)
+
+    # Guards against records that are applied again at later offsets.
+    def test_copy_of_a_page_is_an_error(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        page = make_page(1, b'one')
+        server.script = [[page], [page, LATE_SECONDS, make_page(1)]]
+        topic.read(0, 0.1)
+        with pytest.raises(LogDownError):
+            topic.read(1, 0.1)
+
+    # Guards against an old page that ends before records that are known.
+    def test_page_that_ends_before_a_known_end_is_an_error(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        server.script = [[make_page(1)], [make_appended(1)], [make_page(1)]]
+        topic.read(1, 0.1)
+        topic.append('k', b'one')
+        with pytest.raises(LogDownError):
+            topic.read(1, 0.1)
+
+    # Guards against keys that are missing from the newest records.
+    def test_copy_of_a_page_of_keys_is_an_error(
+        self, server: RawServer, topic: StoreTopic
+    ) -> None:
+        item = b'{"key": "a", "value": "", "offset": 0}'
+        page = b'{"items": [%b], "endOffset": 1, "hasMore": %b}'
+        first = make_sized(page % (item, b'true'))
+        server.script = [
+            [first],
+            [first],
+            [make_sized(page % (b'', b'false'))],
+        ]
+        with pytest.raises(LogDownError):
+            topic.fetch_newest()
+
+    # Guards against offsets that are taken for those of another store's call.
+    @pytest.mark.parametrize('body', [b'', b'[]', b'{"offset": 0}', b'{"off'])
+    def test_append_without_offsets_is_an_error(
+        self, server: RawServer, topic: StoreTopic, body: bytes
+    ) -> None:
+        server.content = make_sized(body)
+        with pytest.raises(LogDownError):
+            topic.append('k', b'one')
