--- a/standins/rawserver.py
+++ b/standins/rawserver.py
@@ -11,18 +11,28 @@
 from .calls import find_port
 
 HEAD_END: Final = b'\r\n\r\n'
-CONTENT_LENGTH: Final = re.compile(rb'(?i)\r\ncontent-length: (\d+)')
+CONTENT_LENGTH: Final = re.compile(rb'(?i)\r\ncontent-length: *(\d+)')
 RECEIVE_BYTES: Final = 65_536
 #: Longest wait for a request, or for the end of a connection.
 IDLE_SECONDS: Final = 5
+#: Bytes, and pauses in seconds, that follow a request.
+Pieces = Sequence[bytes | float]
 
 
 class RawServer:
-    """Sends the same bytes on each connection, then closes it."""
+    """Sends the same bytes on each connection, or scripted ones on kept ones.
+
+    Without a script, a connection is closed after its first answer.
+    """
 
     def __init__(self, content: bytes = b'') -> None:
         """Serve on a free port."""
         self.content = content
+        #: What follows each request, over all connections, then nothing.
+        self.script: list[Pieces] = []
+        #: Number of connections so far, and of requests.
+        self.connections = 0
+        self.requests = 0
         self.port = find_port()
         self._listener = socket.create_server(('127.0.0.1', self.port))
         threading.Thread(target=self._accept, daemon=True).start()
@@ -44,6 +54,7 @@
                 connection, _ = self._listener.accept()
             except OSError:
                 return
+            self.connections += 1
             threading.Thread(
                 target=self._answer, args=(connection,), daemon=True
             ).start()
@@ -51,9 +62,14 @@
     def _answer(self, connection: socket.socket) -> None:
         with connection, contextlib.suppress(OSError):
             connection.settimeout(IDLE_SECONDS)
-            received = b''
-            while HEAD_END not in received:
-                received += connection.recv(RECEIVE_BYTES)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.script:
+                while _receive_request(connection):
+                    self.requests += 1
+                    pieces = self.script.pop(0) if self.script else ()
+                    _send_pieces(connection, pieces)
+                return
+            _receive_request(connection)
             connection.sendall(self.content)
             connection.shutdown(socket.SHUT_WR)
             # Closing with unread bytes would reset the connection.
@@ -116,3 +132,11 @@
     while left > 0:
         left -= len(connection.recv(RECEIVE_BYTES)) or left
     return True
+
+
+def _send_pieces(connection: socket.socket, pieces: Pieces) -> None:
+    for piece in pieces:
+        if isinstance(piece, bytes):
+            connection.sendall(piece)
+        else:
+            time.sleep(piece)
