Believe a refusal only once its whole body was read

Callers saw: 503, "not run", after two endpoints had run their booking; or a booking that two endpoints ran (REFUSED, TWICE).

Cause: the body of a refusal was read for 30 ms and its defects were dropped, so that a refusal that broke off counted, whatever the endpoint sent after it.

Change: a refusal whose body is not whole is an error of unknown outcome. Its body has 0.25 s.

--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -19,8 +19,8 @@
 from .patience import Patience
 from .quarantine import SURVIVAL_SECONDS
 
-#: Time to read a response body that is not used.
-DISCARD_SECONDS: Final = 0.03
+#: Time for the body of a refusal after its head.
+REFUSAL_SECONDS: Final = 0.25
 #: Events after which the pace of a stream is measured.
 PACE_EVENTS: Final = 3
 #: Longest logged part of an identifier that callers chose.
@@ -78,12 +78,14 @@
             and not self.progress.events
         )
 
-    def discard_body(self) -> None:
-        """Read an unused response body, so the connection can be reused."""
-        try:
-            self.exchange.read_body(time.monotonic() + DISCARD_SECONDS)
-        except CourseError:
-            self.exchange.close()
+    def read_refusal(self, cutoff: float) -> None:
+        """Read the body of a refusal, until a time.monotonic() at most.
+
+        Raises EndpointError if it is not whole: the endpoint may go on with
+        another response and run the request.
+        """
+        until = min(cutoff, time.monotonic() + REFUSAL_SECONDS)
+        self.exchange.read_body(until)
 
     def wait_for_data(
         self, patience: Patience | None, since: float, cutoff: float
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -345,10 +345,10 @@
         if head.cold_seconds is not None:
             endpoint.record_cold_period(head.cold_seconds)
         if head.not_run or head.misdirected:
-            self._executions -= 1
             if head.misdirected:
                 endpoint.record_unreachable()
-            attempt.discard_body()
+            attempt.read_refusal(self._cutoff)
+            self._executions -= 1
             raise RejectedError(
                 f'endpoint "{endpoint.record.identifier}" returned status '
                 f'{head.status} without executing the request'
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -43,6 +43,7 @@
     'break_off',
     'restart',
     'restart_failed',
+    'refuse_and_run',
     'copy',
     'copy_failed',
     'repeat',
@@ -139,6 +140,8 @@
         #: 'break_off' - connection closed after break_off_at bytes,
         #: 'restart' - broken off there, and written again from its start,
         #: 'restart_failed' - the same, but status 500 is written then,
+        #: 'refuse_and_run' - a refusal that breaks off within its body, then
+        #:     the request is executed and answered,
         #: 'copy' - that many bytes of the earlier response on a kept
         #:     connection, then the response,
         #: 'copy_failed' - the same, but the response has status 500,
@@ -253,6 +256,9 @@
         if fault in ENDLESS:
             self._send_forever(request, *ENDLESS[fault])
             return
+        if fault == 'refuse_and_run':
+            self._break_off_refusal(request)
+            fault = ''
         if fault in COPIES:
             request.handler.wfile.write(earlier[: self._draw_break()])
             request.handler.wfile.flush()
@@ -311,6 +317,16 @@
             headers['Retry-After'] = self.retry_after
         self._send(request, status, headers, b'')
 
+    def _break_off_refusal(self, request: Request) -> None:
+        identifier = request.handler.headers.get('X-Attempt-Id', '')
+        request.handler.wfile.write(
+            b'HTTP/1.1 503 Busy\r\nX-Not-Executed: 1\r\nX-Attempt-Id: '
+            + identifier.encode()
+            + b'\r\nContent-Length: 9\r\n\r\nbu'
+        )
+        request.handler.wfile.flush()
+        time.sleep(self.restart_seconds)
+
     def _send_forever(
         self, request: Request, start: bytes, repeated: bytes, pause: float
     ) -> None:
--- a/tests/test_faulty_endpoints.py
+++ b/tests/test_faulty_endpoints.py
@@ -51,6 +51,19 @@
         assert len(relay.runs()) == before + 1
         relay.close()
 
+    # Guards against a refusal that breaks off before the request is run.
+    @pytest.mark.parametrize('pause', [0.0, 0.05, 0.4])
+    def test_refusal_that_broke_off_is_not_believed(self, pause: float) -> None:
+        relay = RelayHarness(replicas=2)
+        for replica in relay.replicas:
+            replica.fault = 'refuse_and_run'
+            replica.restart_seconds = pause
+        response = relay.send('/book/x')
+        assert len(relay.runs()) == 1
+        assert response.error is not None
+        assert response.error.outcome is not Outcome.not_run
+        relay.close()
+
     def test_own_refusal_is_reported(self, relay: RelayHarness) -> None:
         start_fault(relay, 'shed')
         response = relay.send('/book/x')
