Count no crash for a response that starts again

Callers saw: 503 `prompt_crashes_endpoints` for sound prompts, after one request whose stream had started again at two endpoints.

Cause: each error on a connection between a stream's head and its first event was recorded as a crash on the prompt, also a chunk that did not end at its size.

Change: only an absent or truncated response may be a crash.

--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -5,7 +5,7 @@
 
 from loguru import logger
 
-from ..errors import CourseError, EndpointError, Outcome
+from ..errors import CourseError, EndpointError, Outcome, ResponseDefect
 from .admission import EndpointChoice
 from .canary import PACE, LatencyClass
 from .connections import (
@@ -23,6 +23,14 @@
 REFUSAL_SECONDS: Final = 0.25
 #: Events after which the pace of a stream is measured.
 PACE_EVENTS: Final = 3
+#: Defects of responses that a crash may cause.
+LOSSES: Final = frozenset(
+    (
+        ResponseDefect.absent,
+        ResponseDefect.head_truncated,
+        ResponseDefect.body_truncated,
+    )
+)
 #: Longest logged part of an identifier that callers chose.
 LOGGED_CHARACTERS: Final = 40
 
@@ -178,11 +186,16 @@
             choice.service, call.session, choice.version, 0
         )
 
-    def _record_loss(self, call: Call, attempt: Attempt) -> None:
-        """Record a lost connection that a prompt may have caused."""
+    def _record_loss(
+        self, call: Call, attempt: Attempt, error: ConnectionLostError
+    ) -> None:
+        """Record a lost connection that a prompt may have caused.
+
+        An endpoint that goes on with another response has not crashed.
+        """
         quarantine = self._context.quarantine
         record = attempt.choice.endpoint.record
-        if attempt.exchange.is_cancelled():
+        if error.defect not in LOSSES or attempt.exchange.is_cancelled():
             return
         if attempt.has_only_begun():
             quarantine.record_crash(call, record)
@@ -228,7 +241,7 @@
             return
         self._context.outliers.record_attempt(record.identifier, failed=True)
         if isinstance(error, ConnectionLostError):
-            self._record_loss(call, attempt)
+            self._record_loss(call, attempt, error)
         analysis = self._context.rollouts.get_analysis(choice.service)
         analysis.record_failure(choice.version)
         if not isinstance(error, SilentError):
--- a/tests/test_quarantine.py
+++ b/tests/test_quarantine.py
@@ -157,6 +157,19 @@
 
     # Guards against refusing the parts of one request that was repeated at
     # endpoints that crash for another reason.
+    # Guards against refusing prompts of endpoints that write responses twice.
+    def test_responses_that_start_again_block_nothing(
+        self, relay: RelayHarness
+    ) -> None:
+        for size in range(240, 320, 4):
+            for replica in relay.replicas:
+                replica.fault = 'restart'
+                replica.break_off_at = size
+            send(relay, 'rules', 'topic', f'own-{size}')
+        for replica in relay.replicas:
+            replica.fault = ''
+        assert send(relay, 'rules', 'topic', 'sound').is_finished
+
     def test_one_repeated_request_blocks_nothing(
         self, clock: list[float]
     ) -> None:
