Pass on sound bodies that end in a status line or near the deadline

Callers saw: 502 instead of whole answers that end with a status line, such as "replied with HTTP/1.1 200"; and 504 instead of whole answers that end with "H" shortly before the deadline.

Cause: the last check matched a status line within the body though nothing followed. The look at what follows took the rest of the time, and the end of the body was then read in no time. The check also left the socket without a timeout, and took any mention of the request's id for that of a head.

Change: without data after it, a body is whole. The end of a body that was read needs no time. The id must be the value of a header line. The timeout is restored.

--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -289,9 +289,7 @@
         response = self._response
         assert response is not None
         try:
-            self._set_timeout(until)
-            response.set_deadline(until)
-            content = response.read1(READ_BYTES)
+            content = self._read_next(response, until)
         except TimeoutError as error:
             raise SilentError('timeout within the response') from error
         except _TRANSPORT_ERRORS as error:
@@ -306,6 +304,14 @@
         self.is_complete = True
         return b''
 
+    def _read_next(self, response: _EndpointResponse, until: float) -> bytes:
+        """Return the next bytes of the body, b'' at its end at any time."""
+        if response.isclosed():
+            return b''
+        self._set_timeout(until)
+        response.set_deadline(until)
+        return response.read1(READ_BYTES)
+
     def ends_with_connection(self) -> bool:
         """Return True if only the connection's end marks the body's end."""
         response = self._response
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -107,7 +107,7 @@
     if not identifier:
         return False
     own = re.escape(identifier.encode('latin-1', 'replace'))
-    header = re.compile(rb':\s*%b(?:\s|\Z)' % own)
+    header = re.compile(rb'\n[^\s:]+:[ \t]*%b[ \t]*(?:[\r\n]|\Z)' % own)
     return any(header.search(head) for head in _find_heads(body))
 
 
@@ -305,16 +305,16 @@
         while True:
             known = len(rest)
             rest = self._wait_trailing(until, known) or b''
-            if rest and self._has_status_line:
+            if not rest:
+                return
+            if self._has_status_line:
                 raise RestartedBodyError('a response began in the body')
             start = self._find_start(rest)
             if start is None:
                 return
             is_whole = bool(STATUS_LINE.match(self._tail + rest, start))
-            if is_whole or (rest and len(rest) == known):
+            if is_whole or len(rest) == known:
                 raise RestartedBodyError("a response began at the body's end")
-            if not rest:
-                return
 
     def _find_start(self, rest: bytes) -> int | None:
         """Return where a status line begins in the tail, or None.
@@ -418,14 +418,14 @@
     def peek_unread(self) -> bytes | None:
         """Return data that came since the last response, or b'' without any.
 
-        Returns None if the connection is not open or has ended. Sets the
-        socket's timeout to 0.
+        Returns None if the connection is not open or has ended.
         """
         return None if self.sock is None else _peek_waiting(self.sock)
 
 
 def _peek_waiting(sock: socket.socket) -> bytes | None:
     """Return data that wait in a socket; None if the connection has ended."""
+    timeout = sock.gettimeout()
     sock.settimeout(0)
     try:
         return sock.recv(STATUS_LINE_BYTES, socket.MSG_PEEK) or None
@@ -433,6 +433,8 @@
         return b''
     except OSError:
         return None
+    finally:
+        sock.settimeout(timeout)
 
 
 def _check_lines(lines: list[bytes]) -> None:
--- a/tests/test_restarted_responses.py
+++ b/tests/test_restarted_responses.py
@@ -1,5 +1,7 @@
 """A response that broke off and started again never passes as whole."""
 
+import time
+
 import pytest
 
 from standins.replica import SIGNATURE
@@ -23,6 +25,10 @@
     b'The server sent HTTP/1.1 200 OK',
     b'HTTP/1.1 200 OK\r\nX-Attempt-Id: another\r\n\r\nbody',
     b'a status line such as HTTP/1.',
+    b'replied with HTTP/1.1 200',
+    b'GET /a -> HTTP/1.1 404\n',
+    b'HTTP/1.1 200 OK\r\n{"request": "id-of-the-request"}',
+    b'HTTP/1.1 200 OK and then to id-of-the-request: more',
 )
 
 
@@ -129,7 +135,19 @@
         self, relay: RelayHarness, quote: bytes
     ) -> None:
         relay.replicas[0].body = quote
-        assert is_whole(relay.send('/book/x'), quote)
+        response = relay.send('/book/x', X_Attempt_Id='id-of-the-request')
+        assert is_whole(response, quote)
+
+    # Guards against whole answers that are lost by a look at what follows.
+    def test_body_that_may_go_on_is_passed_on_before_the_deadline(
+        self, relay: RelayHarness
+    ) -> None:
+        relay.replicas[0].body = b'MATH'
+        relay.replicas[0].work_seconds = 0.44
+        started_at = time.monotonic()
+        response = relay.send('/book/x', deadline_ms=500)
+        assert is_whole(response, b'MATH')
+        assert time.monotonic() - started_at < 0.5
 
     # Guards against refusing whole answers that another response follows.
     @pytest.mark.parametrize('body', [BODY, b'it ends with H'])
