Reject restarted responses of the endpoint beside a sidecar

Callers saw: a 200 whose body ends with a second response, or whose events hold its head, from stand-ins of an endpoint that breaks off within an answer and begins again on the same connection. Usage, which is billed, was read from them.

Cause: the sidecar's answers carry no id, and its reader trusted length and chunks. A whole second response fits into what is due of a length, a chunk ends where a line of its head ends, and an unframed body has everything.

Change: a whole status line in the events of a model is an error, and so is a JSON body that may hold one and can't be parsed; neither occurs in sound JSON. A body of another type may quote a response; with a length it is checked as before. Data after a stream's last event are dropped.

--- a/src/toucancourse/delivery/dispatch.py
+++ b/src/toucancourse/delivery/dispatch.py
@@ -172,7 +172,7 @@
         started = time.monotonic()
         headers = {'Content-Type': request.content_type}
         response = self._send_request(execution, call, request.body, headers)
-        body = b''.join(call.read_chunks())
+        body = call.read_body()
         self._window.record_first_token(time.monotonic() - started)
         execution.send_head(response)
         execution.send_data(body)
@@ -193,7 +193,7 @@
         if request.stream and response.content_type.startswith(EVENT_STREAM):
             self._relay_events(execution, call, response, keep_usage, started)
             return
-        whole_body = b''.join(call.read_chunks())
+        whole_body = call.read_body()
         execution.usage = read_usage(whole_body)
         execution.send_head(response)
         execution.send_data(whole_body)
--- a/src/toucancourse/delivery/endpoint.py
+++ b/src/toucancourse/delivery/endpoint.py
@@ -8,12 +8,17 @@
 from urllib.parse import urlsplit
 
 from ..errors import EndpointError, UnavailableError, UnknownOutcomeError
-from ..interfaces.responses import CheckedConnection
+from ..interfaces.responses import (
+    CheckedConnection,
+    holds_status_line,
+    may_hold_response,
+)
 from ..protocol import peer_pb2
 
 MAX_READ_BYTES: Final = 65536
 EVENT_END: Final = b'\n\n'
 DONE_EVENT: Final = b'data: [DONE]'
+JSON_TYPE: Final = 'application/json'
 USAGE_KEY: Final = b'"usage"'
 #: Methods whose requests have a Content-Length even without a body.
 METHODS_WITH_BODY: Final = frozenset(('PATCH', 'POST', 'PUT'))
@@ -131,6 +136,21 @@
                 return
             yield data
 
+    def read_body(self) -> bytes:
+        """Return the whole response body.
+
+        Raises EndpointError as read_chunks() does, and if another response
+        began in a JSON body. Bodies of other types may quote responses.
+        """
+        assert self._response is not None
+        body = b''.join(self.read_chunks())
+        content_type = self._response.getheader('Content-Type', '')
+        if not content_type.startswith(JSON_TYPE):
+            return body
+        if may_hold_response(body) and not _is_json(body):
+            raise _make_restart_error()
+        return body
+
     def abort(self) -> None:
         """Shut the socket down; another thread may be using the call."""
         sock = self._connection.sock
@@ -160,8 +180,11 @@
     def feed(self, data: bytes) -> bytes:
         """Return the complete events that are to be forwarded.
 
-        The beginning of an incomplete event is buffered.
+        The beginning of an incomplete event is buffered; data after the last
+        event are dropped. Raises EndpointError if another response began.
         """
+        if self.done:
+            return b''
         data = self._buffer + data
         end = data.rfind(EVENT_END)
         if end < 0:
@@ -170,13 +193,21 @@
         end += len(EVENT_END)
         self._buffer = data[end:]
         complete = data[:end]
+        if holds_status_line(complete):
+            raise _make_restart_error()
         if USAGE_KEY in complete or DONE_EVENT in complete:
             return b''.join(self._process_events(complete))
         self.event_count += complete.count(EVENT_END)
         return complete
 
+    def drop_incomplete(self) -> None:
+        """Drop a buffered event, which a resumed stream sends again."""
+        self._buffer = b''
+
     def _process_events(self, complete: bytes) -> Iterator[bytes]:
         for event in complete.split(EVENT_END)[:-1]:
+            if self.done:
+                return
             if event.startswith(DONE_EVENT):
                 self.done = True
             else:
@@ -211,6 +242,18 @@
     return UnknownOutcomeError(f"the endpoint's response was lost: {error}")
 
 
+def _make_restart_error() -> EndpointError:
+    return EndpointError("the endpoint's response broke off and began again")
+
+
+def _is_json(body: bytes) -> bool:
+    try:
+        json.loads(body)
+    except ValueError:
+        return False
+    return True
+
+
 def _read_count(usage: dict[str, Any], key: str) -> int:
     number = usage.get(key)
     return number if isinstance(number, int) and number >= 0 else 0
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -116,6 +116,12 @@
     return bool(WHOLE_STATUS_LINE.search(body))
 
 
+def may_hold_response(body: bytes) -> bool:
+    """Return True if a status line, or its start at the end, is in a body."""
+    end = body[-STATUS_LINE_BYTES:]
+    return bool(STATUS_LINE.search(body) or STATUS_LINE_START.search(end))
+
+
 def _find_heads(body: bytes) -> Iterator[bytes]:
     """Yield each status line and what follows, to the end of the head."""
     starts = [match.start() for match in STATUS_LINE.finditer(body)]
--- a/standins/rawserver.py
+++ b/standins/rawserver.py
@@ -15,8 +15,8 @@
 RECEIVE_BYTES: Final = 65_536
 #: Longest wait for a request, or for the end of a connection.
 IDLE_SECONDS: Final = 5
-#: Bytes, and pauses in seconds, that follow a request.
-Pieces = Sequence[bytes | float]
+#: Bytes and pauses, in seconds, after a request. None ends its connection.
+Pieces = Sequence[bytes | float | None]
 
 
 class RawServer:
@@ -136,6 +136,8 @@
 
 def _send_pieces(connection: socket.socket, pieces: Pieces) -> None:
     for piece in pieces:
+        if piece is None:
+            raise ConnectionAbortedError
         if isinstance(piece, bytes):
             connection.sendall(piece)
         else:
