Resume a stream of the endpoint at a whole event

Callers saw: an event that begins with the first half of itself, which is no JSON, after the endpoint's connection broke within an event and the sidecar resumed the stream.

Cause: the parser kept the incomplete event, and the resumed stream sends it from its start.

Change: the incomplete event is dropped before a stream is resumed.

--- a/src/toucancourse/delivery/dispatch.py
+++ b/src/toucancourse/delivery/dispatch.py
@@ -221,6 +221,7 @@
                 break
             if attempt == MAX_STREAM_RESUMES or not response.stream_id:
                 raise EndpointError('the stream ended without its last event')
+            parser.drop_incomplete()
             source = self._resume_stream(
                 execution, response, parser.event_count
             )
--- a/tests/test_restarted_endpoints.py
+++ b/tests/test_restarted_endpoints.py
@@ -153,3 +153,16 @@
         harness.server.content = content + EVENTS[0]
         assert not harness.run(stream=True).code
         assert harness.data == STREAM
+
+    # Guards against an event that begins with the half of itself.
+    @pytest.mark.parametrize('size', range(0, len(EVENTS[1]), 10))
+    def test_stream_that_broke_within_an_event_is_resumed_whole(
+        self, harness: DispatchHarness, size: int
+    ) -> None:
+        head = EVENT_HEAD + b'X-Stream-Id: 7\r\n' + CHUNKED
+        due = len(EVENTS[0]) + len(EVENTS[1])
+        cut = head + b'%x\r\n%b' % (due, EVENTS[0] + EVENTS[1][:size])
+        rest = EVENT_HEAD + CHUNKED + encode_chunks(*EVENTS[1:])
+        harness.server.script = [[cut, 0.02, None], [rest]]
+        assert not harness.run(stream=True).code
+        assert harness.data == STREAM
