Report answers of the admin API that are no JSON objects

Operators saw: a traceback of toucanctl, exit code 1, if an answer broke off and its rest was that of a second one. For a change, nothing told that its outcome is unknown; for a query, the next entry was not asked.

Cause: json.loads raises ValueError, which the client did not expect.

Change: such an answer is an error of the connection, as a cut one is. The errors of entries that `explain` passes over are logged, and named if none answers.

--- a/src/toucancourse/command/client.py
+++ b/src/toucancourse/command/client.py
@@ -6,6 +6,8 @@
 from typing import Any, Final, NamedTuple
 from urllib.parse import quote
 
+from loguru import logger
+
 from ..errors import CourseError, Outcome
 from ..interfaces.responses import CheckedConnection
 
@@ -29,6 +31,10 @@
     code = 'no_entry'
 
 
+class InvalidAnswerError(HTTPException):
+    """The body of a response is not a JSON object."""
+
+
 class ApiResponse(NamedTuple):
     """A response of the administration API."""
 
@@ -95,17 +101,20 @@
         has the decision. Raises NoEntryError if no entry responds.
         """
         response = ApiResponse(0, {})
+        errors = []
         for address in self._addresses:
             try:
                 response = self._send_to(
                     address, 'GET', f'/explain/{quote(request)}', None
                 )
-            except (OSError, HTTPException):
+            except (OSError, HTTPException) as error:
+                logger.warning('entry {} did not respond: {}', address, error)
+                errors.append(f'{address}: {error}')
                 continue
             if response.status == STATUS_OK:
                 return response
         if not response.status:
-            raise NoEntryError(f'no entry answers at {self._addresses}')
+            raise NoEntryError(f'no entry answers: {"; ".join(errors)}')
         return response
 
     def _send(
@@ -150,11 +159,22 @@
         try:
             connection.request(method, f'{PATH_PREFIX}{path}', payload, headers)
             response = connection.getresponse()
-            return ApiResponse(response.status, json.loads(response.read()))
+            return ApiResponse(response.status, _decode(response.read()))
         finally:
             connection.close()
 
 
+def _decode(body: bytes) -> dict[str, Any]:
+    """Return a JSON object; raise InvalidAnswerError if it is none."""
+    try:
+        decoded = json.loads(body)
+    except ValueError as error:
+        raise InvalidAnswerError(f'no JSON: {error}') from error
+    if not isinstance(decoded, dict):
+        raise InvalidAnswerError('the JSON is no object')
+    return decoded
+
+
 def make_api_error(response: ApiResponse) -> CourseError:
     """Return the error in the body of a response."""
     error_body = response.body.get('error', {})
--- a/tests/test_restarted_readers.py
+++ b/tests/test_restarted_readers.py
@@ -8,7 +8,8 @@
 from loguru import logger
 
 from standins.rawserver import RawServer
-from toucancourse.errors import LogDownError
+from toucancourse.command.client import AdminClient, NoEntryError
+from toucancourse.errors import LogDownError, Outcome
 from toucancourse.membership.topics import Record
 from toucancourse.platform.store import StoreTopic
 
@@ -226,3 +227,42 @@
         server.content = make_sized(body)
         with pytest.raises(LogDownError):
             topic.append('k', b'one')
+
+
+class TestAdminClient:
+    """The command line reports answers that are no JSON objects."""
+
+    BODIES = (b'{"revision": HTTP/1.1 200 OK', b'[]', b'\xff', b'')
+
+    # Guards against a traceback where the outcome of a change is unknown.
+    @pytest.mark.parametrize('body', BODIES)
+    def test_change_has_an_unknown_outcome(
+        self, server: RawServer, body: bytes
+    ) -> None:
+        server.content = make_sized(body)
+        other = RawServer(make_sized(b'{}'))
+        client = AdminClient([server.address, other.address], 'token')
+        with pytest.raises(NoEntryError) as raised:
+            client.put_object('customer/x', {})
+        assert raised.value.outcome is Outcome.unknown
+        assert not other.connections
+        other.close()
+
+    # Guards against a traceback where the next entry can be asked.
+    @pytest.mark.parametrize('body', BODIES)
+    def test_next_entry_is_asked(self, server: RawServer, body: bytes) -> None:
+        server.content = make_sized(body)
+        other = RawServer(make_sized(b'{"x": 1}'))
+        client = AdminClient([server.address, other.address], 'token')
+        assert client.fetch('/x').body == {'x': 1}
+        assert client.explain('r').body == {'x': 1}
+        other.close()
+
+    # Guards against errors of entries that leave no trace.
+    def test_failure_of_all_entries_has_their_errors(
+        self, server: RawServer
+    ) -> None:
+        server.content = make_sized(b'[]')
+        client = AdminClient([server.address], 'token')
+        with pytest.raises(NoEntryError, match='no object'):
+            client.explain('r')
