Log errors of load reports and downloads that were swallowed

Operators saw: a model server without versions, or a download that never starts, without a line that tells why.

Cause: both clients turned each error, also that of a response that broke off, into None or False.

Change: a debug line with the error.

Measured: 3 new tests in tests/test_restarted_readers.py failed on the commit before, none now.

--- a/src/toucancourse/interfaces/engine.py
+++ b/src/toucancourse/interfaces/engine.py
@@ -3,6 +3,8 @@
 from abc import ABC, abstractmethod
 from typing import NamedTuple
 
+from loguru import logger
+
 from ..errors import DECODE_ERRORS, CourseError
 from .calls import call_json
 
@@ -52,7 +54,8 @@
                 bool(report['cold']),
                 int(report['running']),
             )
-        except (CourseError, *DECODE_ERRORS):
+        except (CourseError, *DECODE_ERRORS) as error:
+            logger.debug('no load report', url=self._url, why=repr(error))
             return None
 
     def order(self, action: str, version: str, fence: int) -> None:
--- a/src/toucancourse/interfaces/weights.py
+++ b/src/toucancourse/interfaces/weights.py
@@ -2,6 +2,8 @@
 
 from abc import ABC, abstractmethod
 
+from loguru import logger
+
 from ..errors import CourseError
 from .calls import call_json
 
@@ -35,6 +37,7 @@
         url = f'{self._url}/weights/{version}'
         try:
             call_json('GET', url, timeout=self._timeout)
-        except CourseError:
+        except CourseError as error:
+            logger.debug('download not granted', url=url, why=error.text)
             return False
         return True
--- a/tests/test_restarted_readers.py
+++ b/tests/test_restarted_readers.py
@@ -10,6 +10,8 @@
 from standins.rawserver import RawServer
 from toucancourse.command.client import AdminClient, NoEntryError
 from toucancourse.errors import LogDownError, Outcome
+from toucancourse.interfaces.engine import HttpEngine
+from toucancourse.interfaces.weights import HttpWeightStore
 from toucancourse.membership.topics import Record
 from toucancourse.platform.store import StoreTopic
 
@@ -266,3 +268,25 @@
         client = AdminClient([server.address], 'token')
         with pytest.raises(NoEntryError, match='no object'):
             client.explain('r')
+
+
+class TestSwallowedErrors:
+    """Services that may be absent leave a log line when they are."""
+
+    # Guards against a model server that is unusable without any trace.
+    @pytest.mark.parametrize('body', [b'{"versions": HTTP/1.1 200 OK', b'[]'])
+    def test_invalid_load_report_is_logged(
+        self, server: RawServer, lines: list[dict[str, Any]], body: bytes
+    ) -> None:
+        server.content = make_sized(body)
+        assert HttpEngine(f'http://{server.address}', 2).fetch_load() is None
+        assert [line['message'] for line in lines] == ['no load report']
+
+    # Guards against downloads that fail without any trace.
+    def test_failed_download_is_logged(
+        self, server: RawServer, lines: list[dict[str, Any]]
+    ) -> None:
+        server.content = make_sized(b'{"HTTP/1.1')
+        store = HttpWeightStore(f'http://{server.address}', 2)
+        assert not store.request_download('small@1')
+        assert [line['message'] for line in lines] == ['download not granted']
