Let stand-in endpoints name their requests and answer twice

Cause: all answers of a stand-in bore one signature, one body and the same events, so that a mixture of two looked like either of them; and no stand-in sent a whole response again after the response.

Change: with `names_calls`, the signature, the body and each event name the request. Fault 'twice' repeats a response after a pause.

--- a/standins/replica.py
+++ b/standins/replica.py
@@ -1,5 +1,6 @@
 """Emulates an endpoint on the users' platform."""
 
+import hashlib
 import json
 import random
 import threading
@@ -14,6 +15,9 @@
 SIGNATURE = 'test-signature'
 #: How much of a response is kept, to send it once more.
 MAX_KEPT_BYTES = 65_536
+#: Dotted parts of a signature that names its answer, and their length.
+SIGNATURE_PARTS = 6
+SIGNATURE_PART_DIGITS = 4
 EVENT_STREAM_HEAD = b'Content-Type: text/event-stream\r\n\r\n'
 #: Fault -> bytes after the first headers, bytes that are repeated without end,
 #: and the pause between them in seconds.
@@ -46,6 +50,7 @@
     'refuse_and_run',
     'copy',
     'copy_failed',
+    'twice',
     'repeat',
     'repeat_unnamed',
     *ENDLESS,
@@ -76,6 +81,22 @@
     return json.dumps({**record, **changes}).encode()
 
 
+def make_signature(identifier: str, call: str) -> str:
+    """Return the signature of an endpoint's answer to a request."""
+    digest = hashlib.sha256(f'{identifier} {call}'.encode()).hexdigest()
+    length = SIGNATURE_PART_DIGITS
+    return '.'.join(
+        digest[number * length : (number + 1) * length]
+        for number in range(SIGNATURE_PARTS)
+    )
+
+
+def make_event(number: int, call: str = '') -> bytes:
+    """Return an event of a stream, which may name its request."""
+    suffix = f' of {call}' if call else ''
+    return f'id: {number}\ndata: piece {number}{suffix}\n\n'.encode()
+
+
 class _BrokenOffError(Exception):
     """The response was broken off and is to be written from its start."""
 
@@ -145,6 +166,7 @@
         #: 'copy' - that many bytes of the earlier response on a kept
         #:     connection, then the response,
         #: 'copy_failed' - the same, but the response has status 500,
+        #: 'twice' - the response, and all of it once more,
         #: 'repeat' - an earlier refusal before the response,
         #: 'repeat_unnamed' - the same without the attempt's id,
         #: 'drip_head' - a header line that never ends, byte by byte,
@@ -157,8 +179,8 @@
         self.faults_left = -1
         #: Bytes of a response that leave the endpoint before it breaks off.
         self.break_off_at = 0
-        #: Pause before a broken response is written again, or the response
-        #: after a copy, in seconds.
+        #: Pause before a response is written again, or the response after a
+        #: copy, in seconds.
         self.restart_seconds = 0.0
         #: True to close the connection after a response was written again.
         self.closes_restarted = False
@@ -174,6 +196,8 @@
         self.is_leaving = False
         #: Retry-After of rejections in seconds, or ''.
         self.retry_after = ''
+        #: True to name the request in signatures, bodies and events.
+        self.names_calls = False
         #: Number of events in a stream.
         self.events = 4
         #: False to end streams with their connections, without chunks.
@@ -246,8 +270,12 @@
             self._refuse(request, 503, 'earlier')
         elif fault == 'repeat_unnamed':
             self._refuse(request, 503, '')
+        call = headers.get('X-Attempt-Id', '')
         self.journal.add(
             call=headers.get('X-Attempt-Id'),
+            fault=fault,
+            signature=self._sign(call),
+            answer=self._make_body(call),
             method=request.method,
             path=request.handler.path,
             body=request.body,
@@ -272,6 +300,10 @@
         finally:
             request.handler.wfile = output
             request.handler.earlier = writer.getvalue()  # type: ignore[attr-defined]
+        if fault == 'twice':
+            output.flush()
+            time.sleep(self.restart_seconds)
+            output.write(writer.getvalue())
 
     def _answer_breaking(
         self, request: Request, fault: str, writer: _ResponseWriter
@@ -355,12 +387,21 @@
         self.faults_left -= 1
         return self.fault
 
-    def _respond(self, request: Request, fault: str) -> None:
-        time.sleep(self.work_seconds)
+    def _sign(self, call: str) -> str:
+        if self.names_calls:
+            return make_signature(self.identifier, call)
+        return SIGNATURE
+
+    def _make_body(self, call: str) -> bytes:
         body = self.body
         if body is None:
-            body = f'answer of {self.identifier}'.encode()
-        body = body.ljust(self.body_bytes, b'.')
+            suffix = f' to {call}' if self.names_calls else ''
+            body = f'answer of {self.identifier}{suffix}'.encode()
+        return body.ljust(self.body_bytes, b'.')
+
+    def _respond(self, request: Request, fault: str) -> None:
+        time.sleep(self.work_seconds)
+        body = self._make_body(request.handler.headers.get('X-Attempt-Id', ''))
         if fault == 'error':
             self._send(
                 request, 500, self._make_headers(request, fault), b'failed'
@@ -422,10 +463,11 @@
         first = int(handler.headers.get('Last-Event-Id') or 0) + 1
         # A soak changes it while the stream is written.
         cut_at = self.cut_at
+        call = handler.headers.get('X-Attempt-Id', '')
         try:
             for number in range(first, self.events + 1):
                 time.sleep(self.event_delay)
-                event = f'id: {number}\ndata: piece {number}\n\n'.encode()
+                event = make_event(number, call if self.names_calls else '')
                 if number == cut_at:
                     event = event[:8]
                 if is_framed:
@@ -475,7 +517,7 @@
         identifier = request_headers.get('X-Attempt-Id', '')
         headers = {
             'X-Attempt-Id': 'another' if fault == 'crossed' else identifier,
-            'X-Server-Signature': SIGNATURE,
+            'X-Server-Signature': self._sign(identifier),
             'X-Server-Load': '1,0,8',
         }
         if self.is_leaving:
