Search a refusal that was cut off for another response

Callers got 'not run' (503), and an unsafe request could be sent elsewhere, when an endpoint broke off within the body of a refusal, answered 200 on the same connection with the same id, and that answer was cut as well.

Cause: only bodies that were read to their end were searched.

Change: a body that breaks off is searched like a whole one. A refusal that is only cut by the end of its connection is believed again, with a log line.

--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -89,11 +89,16 @@
     def read_refusal(self, cutoff: float) -> None:
         """Read the body of a refusal, until a time.monotonic() at most.
 
-        Raises EndpointError if it is not whole: the endpoint may go on with
-        another response and run the request.
+        Raises EndpointError if another response may follow on the connection,
+        or begins in the body: the endpoint may run the request.
         """
         until = min(cutoff, time.monotonic() + REFUSAL_SECONDS)
-        self.exchange.read_body(until)
+        try:
+            self.exchange.read_body(until)
+        except ConnectionLostError as error:
+            if error.defect is not ResponseDefect.body_truncated:
+                raise
+            logger.debug('refusal cut off', why=error.text)
 
     def wait_for_data(
         self, patience: Patience | None, since: float, cutoff: float
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -249,12 +249,11 @@
         Raises SilentError or EndpointError.
         """
         body = PieceBuffer()
-        while True:
-            chunk = self.read_chunk(until)
-            if not chunk:
-                break
-            body.add(chunk)
-            self.hold(body.size)
+        try:
+            self._read_pieces(body, until)
+        except EndpointError:
+            self.check_events(body.pop_all())
+            raise
         content = body.pop_all()
         if self.ends_with_connection():
             self.check_events(content)
@@ -262,6 +261,13 @@
             raise _make_restart_error()
         return content
 
+    def _read_pieces(self, body: PieceBuffer, until: float) -> None:
+        chunk = self.read_chunk(until)
+        while chunk:
+            body.add(chunk)
+            self.hold(body.size)
+            chunk = self.read_chunk(until)
+
     def check_events(self, content: bytes) -> None:
         """Raise EndpointError if another response begins in events.
 
