Move the marks of restarted responses into a module of their own

Change: interfaces/restarts.py has the patterns, the searches and BodyEnd, which knows if another response may have begun at a body's end. responses.py reads. The tests' fixture for log lines stands once, in conftest.py.

--- a/src/toucancourse/delivery/endpoint.py
+++ b/src/toucancourse/delivery/endpoint.py
@@ -8,11 +8,8 @@
 from urllib.parse import urlsplit
 
 from ..errors import EndpointError, UnavailableError, UnknownOutcomeError
-from ..interfaces.responses import (
-    CheckedConnection,
-    holds_status_line,
-    may_hold_response,
-)
+from ..interfaces.responses import CheckedConnection
+from ..interfaces.restarts import holds_status_line, may_hold_response
 from ..protocol import peer_pb2
 
 MAX_READ_BYTES: Final = 65536
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -15,9 +15,8 @@
     SocketReader,
     find_body_defect,
     find_head_defect,
-    holds_response,
-    holds_status_line,
 )
+from ..interfaces.restarts import holds_response, holds_status_line
 from .buffers import PieceBuffer, ResponseBuffers
 from .messages import Codec
 from .objects import (
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -6,11 +6,9 @@
 """
 
 import math
-import re
 import select
 import socket
 import time
-from collections.abc import Iterator
 from email.errors import (
     FirstHeaderLineIsContinuationDefect,
     MissingHeaderBodySeparatorDefect,
@@ -23,26 +21,18 @@
     IncompleteRead,
 )
 from io import BufferedReader, RawIOBase
-from itertools import pairwise
 from typing import Any, Final, cast
 
 from ..errors import ResponseDefect
+from .restarts import (
+    LINE_END,
+    STATUS_LINE_BYTES,
+    BodyEnd,
+    has_later_status_line,
+)
 
 #: Longest head, with the heads of interim responses before it.
 MAX_HEAD_BYTES: Final = 65_536
-LINE_END: Final = b'\r\n'
-#: Start of a response: version and status.
-STATUS_LINE: Final = re.compile(rb'HTTP/\d\.\d \d{3}(?!\d)')
-#: The same with its reason and its end.
-WHOLE_STATUS_LINE: Final = re.compile(
-    rb'HTTP/\d\.\d \d{3}(?!\d)[^\r\n]{0,256}\r\n'
-)
-#: Longest match of STATUS_LINE, with the byte after it.
-STATUS_LINE_BYTES: Final = 13
-#: A body's end that may be the beginning of a status line.
-STATUS_LINE_START: Final = re.compile(
-    rb'H(?:T(?:T(?:P(?:/(?:\d(?:\.(?:\d(?: \d{0,3})?)?)?)?)?)?)?)?\Z'
-)
 #: Time in which the rest of a response that began in a body arrives.
 RESTART_SECONDS: Final = 0.05
 #: Pause before data that go on are looked for again.
@@ -99,37 +89,6 @@
     return getattr(error, 'defect', ResponseDefect.body_truncated)
 
 
-def holds_response(body: bytes, identifier: str) -> bool:
-    """Return True if the head of a response to a request is in a body.
-
-    The identifier is the request's own, and stands in each such head.
-    """
-    if not identifier:
-        return False
-    own = re.escape(identifier.encode('latin-1', 'replace'))
-    header = re.compile(rb'\n[^\s:]+:[ \t]*%b[ \t]*(?:[\r\n]|\Z)' % own)
-    return any(header.search(head) for head in _find_heads(body))
-
-
-def holds_status_line(body: bytes) -> bool:
-    """Return True if a whole status line, with its end, is in a body."""
-    return bool(WHOLE_STATUS_LINE.search(body))
-
-
-def may_hold_response(body: bytes) -> bool:
-    """Return True if a status line, or its start at the end, is in a body."""
-    end = body[-STATUS_LINE_BYTES:]
-    return bool(STATUS_LINE.search(body) or STATUS_LINE_START.search(end))
-
-
-def _find_heads(body: bytes) -> Iterator[bytes]:
-    """Yield each status line and what follows, to the end of the head."""
-    starts = [match.start() for match in STATUS_LINE.finditer(body)]
-    for start, end in pairwise((*starts, len(body))):
-        head, blank_line, _ = body[start:end].partition(LINE_END * 2)
-        yield head + blank_line
-
-
 class HeadReader(BufferedReader):
     """Keeps the lines that are read until the head ends."""
 
@@ -222,10 +181,7 @@
         self._sock = sock
         self._reader = HeadReader(self._raw)
         self.fp = self._reader
-        #: Last bytes of the body.
-        self._tail = b''
-        #: True if a status line was found in the body.
-        self._has_status_line = False
+        self._body_end = BodyEnd()
 
     def begin(self) -> None:
         """Read the head and check it.
@@ -294,13 +250,9 @@
         """
         if self.chunked or self.length is None:
             return
-        recent = self._tail + content
-        if STATUS_LINE.search(recent):
-            self._has_status_line = True
-        self._tail = recent[-STATUS_LINE_BYTES:]
-        if self.length or not content:
-            return
-        if self._has_status_line or self._find_start(b'') is not None:
+        self._body_end.add(content)
+        is_end = content and not self.length
+        if is_end and self._body_end.may_hold_start():
             self._check_trailing()
 
     def _check_trailing(self) -> None:
@@ -311,28 +263,11 @@
         while True:
             known = len(rest)
             rest = self._wait_trailing(until, known) or b''
-            if not rest:
+            is_start = bool(rest) and self._body_end.is_start(rest)
+            if is_start is False:
                 return
-            if self._has_status_line:
+            if is_start or len(rest) == known:
                 raise RestartedBodyError('a response began in the body')
-            start = self._find_start(rest)
-            if start is None:
-                return
-            is_whole = bool(STATUS_LINE.match(self._tail + rest, start))
-            if is_whole or len(rest) == known:
-                raise RestartedBodyError("a response began at the body's end")
-
-    def _find_start(self, rest: bytes) -> int | None:
-        """Return where a status line begins in the tail, or None.
-
-        The rest is what follows the body so far.
-        """
-        recent = self._tail + rest
-        for pattern in (STATUS_LINE, STATUS_LINE_START):
-            match = pattern.search(recent)
-            if match is not None and match.start() < len(self._tail):
-                return match.start()
-        return None
 
     def _wait_trailing(self, until: float, known: int) -> bytes | None:
         """Return the data after the response, once more of them are there.
@@ -444,16 +379,9 @@
 
 
 def _check_lines(lines: list[bytes]) -> None:
-    """Raise HTTPException if the lines of a head are not those of one.
-
-    A head that broke off runs into the status line of the response after it.
-    """
-    is_start = True
-    for line in lines:
-        if STATUS_LINE.search(line, int(is_start)):
-            raise RestartedHeadError('a response began within the head')
-        text = line.removesuffix(b'\n').removesuffix(b'\r')
-        if b'\r' in text:
-            raise InvalidHeadError('a line of the head has a carriage return')
-        # A final response follows the empty line of an interim one.
-        is_start = not text
+    """Raise HTTPException if the lines of a head are not those of one."""
+    if has_later_status_line(lines):
+        raise RestartedHeadError('a response began within the head')
+    texts = (line.removesuffix(b'\n').removesuffix(b'\r') for line in lines)
+    if any(b'\r' in text for text in texts):
+        raise InvalidHeadError('a line of the head has a carriage return')
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -2,9 +2,11 @@
 
 from collections.abc import Iterator
 from pathlib import Path
+from typing import Any
 
 import pytest
 from hypothesis import settings
+from loguru import logger
 
 from .fleet import SmallFleet
 from .forwarding import RelayHarness
@@ -40,3 +42,17 @@
     relay = RelayHarness(replicas=1)
     yield relay
     relay.close()
+
+
+@pytest.fixture
+def lines() -> Iterator[list[dict[str, Any]]]:
+    """Return the fields of the log lines, each with its message."""
+    lines: list[dict[str, Any]] = []
+
+    def add_line(message: Any) -> None:
+        record = message.record
+        lines.append({'message': record['message'], **record['extra']})
+
+    sink = logger.add(add_line, level='DEBUG')
+    yield lines
+    logger.remove(sink)
--- a/tests/test_repeated_responses.py
+++ b/tests/test_repeated_responses.py
@@ -11,7 +11,7 @@
 from standins.rawserver import Piece, Script, ScriptedServer
 from standins.replica import SIGNATURE, make_record
 from toucancourse.errors import Outcome
-from toucancourse.interfaces.responses import holds_response
+from toucancourse.interfaces.restarts import holds_response
 
 from .forwarding import RecordedResponse, RelayHarness
 
--- a/tests/test_response_defects.py
+++ b/tests/test_response_defects.py
@@ -4,7 +4,6 @@
 from typing import Any
 
 import pytest
-from loguru import logger
 
 from .forwarding import RelayHarness
 
@@ -32,20 +31,6 @@
     relay.close()
 
 
-@pytest.fixture
-def lines() -> Iterator[list[dict[str, Any]]]:
-    """Return the fields of the log lines, each with its message."""
-    lines: list[dict[str, Any]] = []
-
-    def add_line(message: Any) -> None:
-        record = message.record
-        lines.append({'message': record['message'], **record['extra']})
-
-    sink = logger.add(add_line, level='DEBUG')
-    yield lines
-    logger.remove(sink)
-
-
 class TestAttemptFailed:
     """The line of a failed attempt distinguishes defects of responses."""
 
--- a/tests/test_restarted_readers.py
+++ b/tests/test_restarted_readers.py
@@ -5,7 +5,6 @@
 from typing import Any
 
 import pytest
-from loguru import logger
 
 from standins.rawserver import RawServer
 from toucancourse.command.client import AdminClient, NoEntryError
@@ -66,20 +65,6 @@
     return StoreTopic(server.address, 'topic')
 
 
-@pytest.fixture
-def lines() -> Iterator[list[dict[str, Any]]]:
-    """Return the fields of the log lines, each with its message."""
-    lines: list[dict[str, Any]] = []
-
-    def add_line(message: Any) -> None:
-        record = message.record
-        lines.append({'message': record['message'], **record['extra']})
-
-    sink = logger.add(add_line, level='DEBUG')
-    yield lines
-    logger.remove(sink)
-
-
 class TestStoreConnections:
     """Calls of the store take no data that were there before the call."""
 
