Log requests that were read and not served

Change: a line `request dropped` with the request's id when waitress discards a request that no task was started for.

--- a/src/toucancourse/ingress/channels.py
+++ b/src/toucancourse/ingress/channels.py
@@ -5,6 +5,7 @@
 from http import HTTPStatus
 from typing import Any, Final
 
+from loguru import logger
 from waitress.channel import ClientDisconnected, HTTPChannel
 from waitress.parser import HTTPRequestParser, ParsingError
 from waitress.task import Task
@@ -23,6 +24,9 @@
 class StrictParser(HTTPRequestParser):
     """Rejects requests with ambiguous length, against request smuggling."""
 
+    #: True once the request was passed to a task.
+    is_served = False
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the header.
 
@@ -36,6 +40,16 @@
         if 'TRANSFER_ENCODING' in self.headers:
             raise ParsingError('Transfer-Encoding is not allowed in HTTP/1.0')
 
+    def close(self) -> None:
+        """Release the body, and log a request that nobody served."""
+        super().close()
+        if self.completed and not self.is_served and not self.error:
+            logger.warning(
+                'request dropped',
+                call=self.headers.get('X_ATTEMPT_ID'),
+                why='the connection closes before its turn',
+            )
+
 
 class ChannelResponseWriter(ResponseWriter):
     """Writes a response to a waitress channel."""
@@ -128,6 +142,7 @@
         """Pass the request to the handler, and errors to the caller."""
         writer = ChannelResponseWriter(self)
         server = self.channel.server
+        self.request.is_served = True
         try:
             if server.is_closed:
                 raise LeavingError('the instance is shutting down')
