Close connections in a shutdown only after a response that says so

Cause: a stream that began before SIGTERM closed its connection at its end, though its head had promised to keep it. The next request crossed the close, or was read and dropped. After the listener was closed, idle connections were not looked at again, as that ran only with the listener.

Change: the end of a stream closes nothing. Once the listener is closed, a connection that was not announced to close lingers for half a second, in which a request gets 503; the process ends when no connection is open.

Two tests of TestDrain and test_callers_of_streams_lose_no_request failed before; the third of TestDrain uses a new method.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -258,7 +258,7 @@
         logger.info('draining', running=self._ingress.count_running())
         time.sleep(BALANCER_NOTICE_SECONDS)
         self._ingress.close_idle()
-        while time.monotonic() < deadline and self._ingress.count_running():
+        while time.monotonic() < deadline and self._ingress.count_open():
             time.sleep(DRAIN_POLL_SECONDS)
             self._ingress.close_idle()
             self._end_requests()
--- a/src/toucancourse/ingress/channels.py
+++ b/src/toucancourse/ingress/channels.py
@@ -80,8 +80,6 @@
     def finish(self) -> None:
         """Send the last chunk, which marks the response as complete."""
         self._write(b'0\r\n\r\n')
-        if self._channel.server.is_draining:
-            self._task.close_on_finish = True
 
     def abort(self) -> None:
         """Close the connection without a last chunk.
@@ -198,8 +196,12 @@
     parser_class = StrictParser
     #: Called when the caller closes its connection.
     on_disconnect: Callable[[], None] | None = None
-    #: time.monotonic() of the last byte in or out.
-    last_used = 0.0
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Create a channel for a connection that was just accepted."""
+        super().__init__(*arguments, **options)
+        #: time.monotonic() of the last byte in or out.
+        self.last_used = time.monotonic()
 
     def handle_read(self) -> None:
         """Read, or cancel the running request if the caller disconnected."""
--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -27,6 +27,9 @@
 #: Added to the configured idle timeout, so that a caller that reuses its
 #: connection just within the timeout never finds it closed.
 IDLE_MARGIN_SECONDS: Final = 1.0
+#: Time after the last byte in which the caller may still send a request on a
+#: connection of which no response announced that it closes.
+LINGER_SECONDS: Final = 0.5
 #: Stack size of a request's thread; the deepest calls need far less.
 THREAD_STACK_BYTES: Final = 262_144
 
@@ -72,6 +75,7 @@
     channel_class = IngressChannel
     active_channels: Any
     socket: Any
+    trigger: Any
 
     def __init__(
         self,
@@ -125,27 +129,28 @@
         monotonic clock is used.
         """
         used_before = time.monotonic() - self.idle_seconds - IDLE_MARGIN_SECONDS
-        if self.is_closed:
-            self._stop_listening()
         for channel in tuple(self.active_channels.values()):
-            if not channel.last_used:
-                channel.last_used = time.monotonic()
             # A caller that does not read its response is idle, too.
             is_idle = channel.has_output() or not channel.has_requests()
             if is_idle and channel.last_used < used_before:
                 channel.will_close = True
-            if self.is_closed and not channel.is_busy():
-                channel.will_close = True
 
     def close_idle(self) -> None:
         """Close idle connections now and accept no new ones.
 
-        Must be called repeatedly until no request is running, since busy
-        connections are skipped.
+        Must be called repeatedly until none is open, since those that are busy
+        or were used just now are skipped.
         """
         self.is_closed = True
-        self.next_channel_cleanup = 0
-        self.pull_trigger()
+        # Runs in the thread of the connections, also without a listener.
+        self.trigger.pull_trigger(self._close_unused)
+
+    def _close_unused(self) -> None:
+        self._stop_listening()
+        used_before = time.monotonic() - LINGER_SECONDS
+        for channel in tuple(self.active_channels.values()):
+            if not channel.is_busy() and channel.last_used < used_before:
+                channel.will_close = True
 
     def _stop_listening(self) -> None:
         if self.accepting:
@@ -153,6 +158,10 @@
             self.del_channel()
             self.socket.close()
 
+    def count_open(self) -> int:
+        """Return the number of callers' connections."""
+        return len(self.active_channels)
+
     def count_running(self) -> int:
         """Return the number of connections with an unfinished request."""
         return sum(
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -141,3 +141,62 @@
         caller.close()
         time.sleep(0.1)
         assert not any(line['message'] == 'request dropped' for line in lines)
+
+
+class TestDrain:
+    """A connection closes only after a response that announced it."""
+
+    # Guards against requests on a connection that closes without notice after
+    # a stream which began before the shutdown.
+    def test_stream_that_ends_in_a_drain_keeps_its_connection(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send('/stream')
+        assert b'Connection: close' not in caller.read_head()
+        ingress.start_drain()
+        ingress.end_streams()
+        caller.read_stream_end()
+        time.sleep(0.1)
+        caller.send('/plain')
+        head = caller.read_head()
+        assert b'200 OK' in head
+        assert b'Connection: close' in head
+        caller.close()
+
+    # Guards against the same once the instance takes no more requests.
+    def test_request_right_after_such_a_stream_is_refused_with_an_answer(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send('/stream')
+        caller.read_head()
+        ingress.start_drain()
+        ingress.server.close_idle()
+        time.sleep(0.1)
+        ingress.end_streams()
+        caller.read_stream_end()
+        ingress.server.close_idle()
+        time.sleep(0.1)
+        caller.send('/plain')
+        head = caller.read_head()
+        assert b' 503 ' in head
+        assert b'Connection: close' in head
+        caller.close()
+
+    def test_idle_connection_is_closed_in_the_end(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send('/plain')
+        caller.read_head()
+        caller.read_body()
+        ingress.start_drain()
+
+        def is_closed() -> bool:
+            ingress.server.close_idle()
+            return not ingress.server.count_open()
+
+        wait_until(is_closed, TIMEOUT_SECONDS, 'close')
+        assert not caller.read_head()
+        caller.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -461,6 +461,26 @@
         sock.close()
         assert received > 4_000_000
 
+    # Guards against requests that a shutdown leaves without an answer.
+    def test_callers_of_streams_lose_no_request(self, fleet: Fleet) -> None:
+        for replica in fleet.replicas:
+            replica.events = 20
+            replica.event_delay = 0.03
+        unanswered: list[float] = []
+        threads = [
+            threading.Thread(
+                target=stream_until_closed, args=(fleet, number, unanswered)
+            )
+            for number in range(12)
+        ]
+        for thread in threads:
+            thread.start()
+        time.sleep(1)
+        assert fleet.node.stop(10) == 0
+        for thread in threads:
+            thread.join(8)
+        assert not unanswered
+
     def test_registration_is_removed(self, fleet: Fleet) -> None:
         wait_until(
             lambda: 'entry/entry-1' in fleet.store.newest('keyed.status'),
@@ -483,6 +503,29 @@
         assert fleet.send('/book/x').status == 200
 
 
+def stream_until_closed(
+    fleet: Fleet, number: int, unanswered: list[float]
+) -> None:
+    """Send streams on one connection, back to back, until it is closed.
+
+    Adds the seconds that passed to `unanswered` if a request got no answer.
+    """
+    time.sleep(0.05 * number)
+    caller = HTTPConnection(fleet.host, fleet.port, timeout=8)
+    started = time.monotonic()
+    while time.monotonic() - started < 10:
+        headers = {**fleet.make_headers(), 'Accept': 'text/event-stream'}
+        try:
+            caller.request('POST', '/draft/x', b'{}', headers)
+            response = caller.getresponse()
+            response.read()
+        except (OSError, HTTPException):
+            unanswered.append(time.monotonic() - started)
+            return
+        if response.headers['connection'] == 'close':
+            return
+
+
 class TestCheck:
     """`--check` reports a bad setting in one line."""
 
