Accept waiting connections before the listener closes

Callers would see: a reset of a connection that was established and had sent a request while the thread of the connections was busy.

Cause: closing the listener resets what waits in its queue.

Change: the queue is emptied first; requests on these connections get 503.

Result: the new test failed before with ConnectionResetError and passes five of five.

--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -153,10 +153,16 @@
                 channel.will_close = True
 
     def _stop_listening(self) -> None:
-        if self.accepting:
-            self.accepting = False
-            self.del_channel()
-            self.socket.close()
+        """Accept the connections that wait, and no more."""
+        if not self.accepting:
+            return
+        known = -1
+        while known < self.count_open():
+            known = self.count_open()
+            self.handle_accept()
+        self.accepting = False
+        self.del_channel()
+        self.socket.close()
 
     def count_open(self) -> int:
         """Return the number of callers' connections."""
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -200,3 +200,25 @@
         wait_until(is_closed, TIMEOUT_SECONDS, 'close')
         assert not caller.read_head()
         caller.close()
+
+
+class TestWaitingConnections:
+    """Connections that wait to be accepted as the listener closes."""
+
+    # Guards against a reset of callers that had connected and sent a request.
+    def test_request_that_waits_gets_an_answer(self, ingress: Ingress) -> None:
+        blocked = threading.Event()
+        ingress.server.trigger.pull_trigger(
+            lambda: blocked.wait(TIMEOUT_SECONDS)
+        )
+        callers = [ingress.connect() for _ in range(5)]
+        for caller in callers:
+            caller.send('/plain')
+        ingress.start_drain()
+        ingress.server.close_idle()
+        blocked.set()
+        for caller in callers:
+            head = caller.read_head()
+            assert b' 503 ' in head
+            assert b'Connection: close' in head
+            caller.close()
