Wait for the next event, not for the end of the last chunk

Callers saw: streams that stayed for four pauses at an endpoint that had fallen silent for all, where one and a half is meant.

Cause: the two bytes that end a chunk were taken for the beginning of the next event, so the wait for data ended at once, and the read after it had the longer limit, and failed as a timeout within the response.

Change: the end of a chunk that was read whole is no data; it is buffered while the wait goes on.

Result: test_silent_endpoint_is_left_after_the_shorter_pause failed before, with events 1 and 2 of 4; it passes.

--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -108,10 +108,6 @@
         """Make reads fail from a time.monotonic() on."""
         self._raw.until = until
 
-    def has_buffered_data(self) -> bool:
-        """Return True if bytes were received that were not read yet."""
-        return bool(self._raw.peek_buffered(self._reader))
-
     def _wrap_socket(
         self, sock: socket.socket, raw: socket.SocketIO
     ) -> _DeadlineReader:
@@ -185,17 +181,20 @@
         can be continued in either case.
         """
         response = self._response
-        if response is not None and response.has_buffered_data():
-            return True
-        remaining = until - time.monotonic()
-        if self._cancelled or remaining <= 0:
-            return False
-        poll = select.poll()
-        try:
-            poll.register(self._sock, select.POLLIN)
-            return bool(poll.poll(remaining * MS_PER_SECOND))
-        except (OSError, ValueError):
-            return True
+        while response is None or not response.has_next_data():
+            remaining = until - time.monotonic()
+            if self._cancelled or remaining <= 0:
+                return False
+            poll = select.poll()
+            try:
+                poll.register(self._sock, select.POLLIN)
+                if not poll.poll(remaining * MS_PER_SECOND):
+                    return False
+                if response is None or not response.buffer_chunk_end():
+                    return True
+            except (OSError, ValueError):
+                return True
+        return True
 
     def read_head(self, until: float) -> ResponseHead:
         """Return the response head, read until a time.monotonic().
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -231,6 +231,25 @@
         waiting = _peek_waiting(self._sock)
         return buffered or None if waiting is None else buffered + waiting
 
+    def has_next_data(self) -> bool:
+        """Return True if a part of the body that was not read is buffered.
+
+        The end of a chunk that was read whole is none.
+        """
+        buffered = self._raw.peek_buffered(self._reader)
+        if self.chunk_left == 0:
+            return buffered not in {b'', LINE_END}
+        return bool(buffered)
+
+    def buffer_chunk_end(self) -> bool:
+        """Read from the socket, which must have data, if a chunk ended there.
+
+        Returns False if nothing was read: the data are not the chunk's end.
+        """
+        if self.chunk_left != 0 or self._raw.peek_buffered(self._reader):
+            return False
+        return bool(self._reader.peek(1))
+
     def count_received(self) -> int:
         """Return the number of bytes received, also of heads before it."""
         return self._raw.received
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -206,6 +206,10 @@
         self.on_cut: Callable[[], object] = int
         #: Delay before each event, in seconds.
         self.event_delay = 0.005
+        #: Number of the event before which it preempts a stream, or 0, and for
+        #: how long, in seconds.
+        self.preempt_at = 0
+        self.preempt_seconds = 0.0
         #: Part of a prompt on which the endpoint crashes as it begins to write
         #: a stream.
         self.crashing_part = ''
@@ -467,6 +471,8 @@
         try:
             for number in range(first, self.events + 1):
                 time.sleep(self.event_delay)
+                if number == self.preempt_at:
+                    time.sleep(self.preempt_seconds)
                 event = make_event(number, call if self.names_calls else '')
                 if number == cut_at:
                     event = event[:8]
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -112,3 +112,24 @@
         started_at = time.monotonic()
         relay.send('/draft/x', response=response)
         assert time.monotonic() - started_at < 0.7
+
+
+class TestChunkEnds:
+    """The end of a chunk is not taken for the beginning of the next event."""
+
+    # Guards against a stream that is held longer at an endpoint that is silent.
+    def test_silent_endpoint_is_left_after_the_shorter_pause(
+        self, relay: RelayHarness, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        monkeypatch.setattr(
+            'toucancourse.forwarding.relay.find_event_patience',
+            lambda _: Patience(silent=0.2, busy=3.0),
+        )
+        preempting = relay.replicas[0]
+        preempting.preempt_at = 3
+        preempting.preempt_seconds = 4.0
+        while not preempting.runs():
+            started_at = time.monotonic()
+            response = relay.send('/draft/x', deadline_ms=6000)
+        assert find_ids(response) == [1, 2, 3, 4]
+        assert time.monotonic() - started_at < 2.0
