Give up a silent endpoint only for another one

Cause: the attempt was ended first; only then was it looked up whether another endpoint can take the request, and whether the retry budget allows it.

Change: once the patience ends, the next endpoint is selected and its retry is charged before the connection is closed. While there is none, the wait goes on until the deadline, with a look from time to time and one line. An event that began must still end in time.

--- a/src/toucancourse/admission/limits.py
+++ b/src/toucancourse/admission/limits.py
@@ -145,15 +145,23 @@
         fleet_share is this entry's part of the fleet's fixed retries.
         """
         with self._lock:
-            self._drop_expired()
-            allowed = self._share * len(self._requests)
-            if time.monotonic() >= self._extra_from:
-                allowed += self._extra * fleet_share
-            if len(self._retries) + 1 > allowed:
+            if not self._has_room(fleet_share):
                 return False
             self._retries.append(time.monotonic())
             return True
 
+    def is_left(self, fleet_share: float) -> bool:
+        """Return True if spend() would use a retry now."""
+        with self._lock:
+            return self._has_room(fleet_share)
+
+    def _has_room(self, fleet_share: float) -> bool:
+        self._drop_expired()
+        allowed = self._share * len(self._requests)
+        if time.monotonic() >= self._extra_from:
+            allowed += self._extra * fleet_share
+        return len(self._retries) + 1 <= allowed
+
     def _drop_expired(self) -> None:
         horizon = time.monotonic() - self._seconds
         for times in (self._requests, self._retries):
--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -1,6 +1,7 @@
 """One attempt of a request at one endpoint, and how its result is recorded."""
 
 import time
+from collections.abc import Callable
 from typing import Final, NamedTuple
 
 from loguru import logger
@@ -16,7 +17,7 @@
 )
 from .context import RelayContext
 from .objects import AttemptOptions, Call, Route
-from .patience import Patience
+from .patience import RECHECK_SECONDS, Patience
 from .quarantine import SURVIVAL_SECONDS
 
 #: Time for the body of a refusal after its head.
@@ -48,6 +49,13 @@
         self.pause = 0.0
         #: True once the endpoint is known to have survived the prompt.
         self.has_survived = False
+        self._is_wait_noticed = False
+
+    def notice_wait(self) -> bool:
+        """Return True the first time that nobody can take over."""
+        is_first = not self._is_wait_noticed
+        self._is_wait_noticed = True
+        return is_first
 
     def find_age(self, now: float) -> float:
         """Return the seconds since the first event, at a time.monotonic()."""
@@ -101,25 +109,41 @@
             logger.debug('refusal cut off', why=error.text)
 
     def wait_for_data(
-        self, patience: Patience | None, since: float, cutoff: float
+        self,
+        patience: Patience | None,
+        since: float,
+        cutoff: float,
+        is_replaced: Callable[[], bool],
     ) -> None:
         """Wait until the endpoint sends something.
 
-        Raises SilentError at the cutoff or, with a patience, once there was
-        no progress since `since` for longer than it allows. Both times are
-        time.monotonic().
+        Raises SilentError at the cutoff, or if is_replaced() returns True. It
+        is called, with a patience, once there was no progress since `since`
+        for longer than that allows, and from time to time after that. Both
+        times are time.monotonic().
         """
-        until = since
+        exchange = self.exchange
+        rechecked_at = since
         while True:
-            previous = until
             until = cutoff
             if patience is not None:
                 end = patience.find_end(since, self.choice.endpoint.heard_at)
-                until = min(until, end)
-            if self.exchange.wait_for_data(until):
+                until = min(cutoff, max(end, rechecked_at))
+            if exchange.wait_for_data(until):
                 return
-            if until <= previous or self.exchange.is_cancelled():
-                raise SilentError('timeout waiting for the endpoint')
+            if until >= cutoff or exchange.is_cancelled():
+                break
+            if patience is None or not self._is_exhausted(patience, since):
+                continue
+            if is_replaced():
+                break
+            rechecked_at = time.monotonic() + RECHECK_SECONDS
+        raise SilentError('timeout waiting for the endpoint')
+
+    def _is_exhausted(self, patience: Patience, since: float) -> bool:
+        """Return True if the patience has ended, whatever was heard since."""
+        end = patience.find_end(since, self.choice.endpoint.heard_at)
+        return end <= time.monotonic()
 
 
 class AttemptRecorder:
--- a/src/toucancourse/forwarding/patience.py
+++ b/src/toucancourse/forwarding/patience.py
@@ -1,5 +1,6 @@
 """How long a silent endpoint is waited for."""
 
+import time
 from typing import Final, NamedTuple
 
 from .objects import Route, RouteKind
@@ -18,6 +19,8 @@
 #: that sends to other requests.
 SILENT_PAUSE_RATIO: Final = 1.5
 BUSY_PAUSE_RATIO: Final = 4.0
+#: Pause between two looks for another endpoint while nobody can take over.
+RECHECK_SECONDS: Final = 0.25
 #: Time to a stream's head at an endpoint that sends to other requests, as a
 #: multiple of that at a silent one. Another endpoint would have to repeat the
 #: prefill.
@@ -61,3 +64,13 @@
         max(MIN_PAUSE_SECONDS, SILENT_PAUSE_RATIO * route.event_pause),
         max(MIN_PAUSE_SECONDS, BUSY_PAUSE_RATIO * route.event_pause),
     )
+
+
+def find_read_end(patience: Patience | None, cutoff: float) -> float:
+    """Return until when a head or an event that begins now must end.
+
+    The result and the cutoff are time.monotonic().
+    """
+    if patience is None:
+        return cutoff
+    return min(cutoff, time.monotonic() + patience.busy)
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -1,6 +1,7 @@
 """Forwards a request to endpoints, with retries and model escalation."""
 
 import time
+from functools import partial
 from http import HTTPStatus
 from typing import Final
 
@@ -35,8 +36,13 @@
     list_models,
 )
 from .objects import AttemptOptions, Call, ResponseHead, RouteKind
-from .patience import find_event_patience, find_head_patience
+from .patience import (
+    find_event_patience,
+    find_head_patience,
+    find_read_end,
+)
 from .responses import CallerGoneError, ResponseWriter
+from .retries import RetryAllowance
 
 #: Maximum attempts of a request, including those that did not execute it.
 MAX_ATTEMPTS: Final = 4
@@ -124,8 +130,9 @@
         self._stream_model = ''
         #: Endpoint of the next attempt, if it is selected already.
         self._next_choice: EndpointChoice | None = None
-        #: Service whose retry budget is charged.
-        self._service = ''
+        #: Endpoint that takes over from a silent one; its retry is paid for.
+        self._successor: EndpointChoice | None = None
+        self._retries = RetryAllowance(context)
 
     def run(self) -> None:
         """Forward the request, with retries, until it is answered.
@@ -197,17 +204,12 @@
         admitted = self._refresh_route()
         if self._response.is_disconnected():
             raise CallerGoneError('the caller closed its connection')
-        self._context.quarantine.check(self._call)
         model = self._stream_model or self._models.current
-        choice = self._next_choice or self._context.admission.choose(
-            self._call, admitted, model, self._tried, self._failed
+        choice = self._successor or self._select_endpoint(
+            admitted, model, self._failed
         )
-        self._next_choice = None
-        if not self._has_started:
-            self._context.shutdown.check(
-                _predict_seconds(self._context, admitted, choice, model)
-            )
-        self._record_service(choice.service)
+        self._successor = None
+        self._retries.record_request(choice.service)
         attempt = self._start_attempt(admitted, choice, model)
         in_flight_request = choice.endpoint.backlog.add_request(
             choice.rank, choice.scored.prefill_seconds
@@ -228,6 +230,58 @@
             in_flight_request.finish()
             self._finish_attempt(attempt)
 
+    def _select_endpoint(
+        self, admitted: AdmittedRequest, model: str, failed: set[str]
+    ) -> EndpointChoice:
+        """Return the endpoint for an attempt that may begin now.
+
+        failed holds the versions that failed this request.
+
+        Raises CourseError.
+        """
+        self._context.quarantine.check(self._call)
+        choice = self._next_choice or self._context.admission.choose(
+            self._call, admitted, model, self._tried, failed
+        )
+        self._next_choice = None
+        if not self._has_started:
+            self._context.shutdown.check(
+                _predict_seconds(self._context, admitted, choice, model)
+            )
+        return choice
+
+    def _find_successor(self, attempt: Attempt) -> bool:
+        """Select and pay for an endpoint that takes over from a silent one.
+
+        Returns False if there is none: the silent endpoint may go on.
+        """
+        failed = self._failed
+        if not self._has_started:
+            failed = failed | {attempt.choice.version}
+        try:
+            successor = self._select_successor(attempt.model, failed)
+        except CourseError as error:
+            if attempt.progress.notice_wait():
+                logger.info(
+                    'silent endpoint waited for',
+                    call=self._call.identifier,
+                    endpoint=attempt.choice.endpoint.record.identifier,
+                    why=error.text,
+                    events=attempt.progress.events,
+                )
+            return False
+        self._successor = successor
+        return True
+
+    def _select_successor(self, model: str, failed: set[str]) -> EndpointChoice:
+        """Return an endpoint and charge the retry budget; raise CourseError."""
+        if self._is_late() or not self._retries.are_left():
+            raise UnavailableError('no time or no retry is left')
+        choice = self._select_endpoint(self._refresh_route(), model, failed)
+        if not self._retries.spend():
+            raise UnavailableError('no retry is left')
+        return choice
+
     def _finish_attempt(self, attempt: Attempt) -> None:
         """Record the end of an attempt and release its connection."""
         self._response.watch_disconnect(None)
@@ -237,12 +291,6 @@
             attempt.choice.endpoint.record, attempt.exchange
         )
 
-    def _record_service(self, service: str) -> None:
-        """Count the request once in the retry budget of its service."""
-        if service != self._service:
-            self._service = service
-            self._context.find_retry_budget(service).record_request()
-
     def _start_attempt(
         self,
         admitted: AdmittedRequest,
@@ -332,8 +380,13 @@
         except NotSentError:
             self._executions -= 1
             raise
-        attempt.wait_for_data(patience, started_at, self._cutoff)
-        head = exchange.read_head(until)
+        attempt.wait_for_data(
+            patience,
+            started_at,
+            self._cutoff,
+            partial(self._find_successor, attempt),
+        )
+        head = exchange.read_head(find_read_end(patience, self._cutoff))
         endpoint = attempt.choice.endpoint
         endpoint.record_progress()
         if head.is_leaving:
@@ -385,7 +438,8 @@
         body = attempt.exchange.read_body(self._cutoff)
         self._recorder.record_survival(self._call, attempt, is_complete=True)
         self._recorder.record_success(self._call, attempt)
-        self._send_response(head, body)
+        self._status = head.status
+        self._response.send(head.status, head.headers, body)
         return True
 
     def _forward_failure(self, attempt: Attempt, head: ResponseHead) -> bool:
@@ -406,7 +460,8 @@
                 'the error response has no server signature',
                 ResponseDefect.unsigned,
             )
-        self._send_response(head, body)
+        self._status = head.status
+        self._response.send(head.status, head.headers, body)
         return True
 
     def _forward_stream(self, attempt: Attempt, head: ResponseHead) -> bool:
@@ -420,11 +475,17 @@
         if self._can_repeat():
             patience = find_event_patience(self._admitted.route)
         progressed_at = time.monotonic()
+        # Until when the event that is being received must end.
+        until = self._cutoff
         while True:
-            attempt.wait_for_data(patience, progressed_at, self._cutoff)
-            until = self._cutoff
-            if patience is not None:
-                until = min(until, progressed_at + patience.busy)
+            attempt.wait_for_data(
+                patience,
+                progressed_at,
+                self._cutoff,
+                partial(self._find_successor, attempt),
+            )
+            if not event_splitter.count_buffered():
+                until = find_read_end(patience, self._cutoff)
             content = exchange.read_chunk(until)
             if not content:
                 break
@@ -476,7 +537,7 @@
             head, larger_choice
         ):
             return False
-        if not self._spend_retry():
+        if not self._retries.spend():
             return False
         logger.info(
             'response discarded',
@@ -543,28 +604,21 @@
             self._response.begin(head.status, head.headers)
         self._response.write(content)
 
-    def _send_response(self, head: ResponseHead, body: bytes) -> None:
-        self._status = head.status
-        self._response.send(head.status, head.headers, body)
-
     def _may_retry(self, error: CourseError) -> bool:
         """Return True if the request may be retried after an error.
 
-        Charges the retry budget, unless nothing was sent.
+        Charges the retry budget, unless nothing was sent or the endpoint of
+        the next attempt was selected before.
         """
+        if self._successor is not None:
+            return True
         if not isinstance(error, _RETRYABLE):
             return False
         if self._is_late() or not self._can_repeat():
             return False
         if isinstance(error, NotSentError):
             return True
-        return self._spend_retry()
-
-    def _spend_retry(self) -> bool:
-        budget = self._context.find_retry_budget(self._service)
-        is_allowed = budget.spend(self._context.find_fleet_share())
-        self._context.metrics.retries.labels(str(is_allowed)).inc()
-        return is_allowed
+        return self._retries.spend()
 
     def _fail(self, error: CourseError) -> None:
         """Abort a started response and raise the request's final error.
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -3,9 +3,11 @@
 import threading
 import time
 from collections.abc import Iterator
+from typing import Any
 
 import pytest
 
+from toucancourse.admission.limits import WindowBudget
 from toucancourse.forwarding.objects import Route, RouteKind
 from toucancourse.forwarding.patience import (
     MIN_PAUSE_SECONDS,
@@ -114,6 +116,114 @@
         assert time.monotonic() - started_at < 0.7
 
 
+@pytest.fixture
+def impatient(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Let endpoints be silent for less than they are in these tests."""
+    for name in ('find_event_patience', 'find_head_patience'):
+        monkeypatch.setattr(
+            f'toucancourse.forwarding.relay.{name}',
+            lambda *_: Patience(0.1, 0.1),
+        )
+
+
+@pytest.mark.usefixtures('impatient')
+class TestNobodyToTakeOver:
+    """A silent endpoint is given up only for another one."""
+
+    # Guards against cutting a stream that its endpoint preempts.
+    def test_preempted_stream_at_the_only_endpoint_comes_whole(
+        self, lines: list[dict[str, Any]]
+    ) -> None:
+        relay = RelayHarness(replicas=1)
+        preempt_streams(relay, 0.6)
+        response = relay.send('/draft/x', deadline_ms=5000)
+        relay.close()
+        assert response.is_finished
+        assert find_ids(response) == [1, 2, 3, 4]
+        waits = [
+            line
+            for line in lines
+            if line['message'] == 'silent endpoint waited for'
+        ]
+        assert len(waits) == 1
+        assert 'no usable endpoint' in waits[0]['why']
+
+    # Guards against the same if the retry budget is used up.
+    def test_preempted_stream_without_retry_budget_comes_whole(
+        self, relay: RelayHarness
+    ) -> None:
+        relay.budget = WindowBudget(0, 0, 10)
+        preempt_streams(relay, 0.6)
+        response = relay.send('/draft/x', deadline_ms=5000)
+        assert response.is_finished
+        assert find_ids(response) == [1, 2, 3, 4]
+        assert len(relay.runs()) == 1
+
+    # Guards against an error in place of a slow answer.
+    def test_slow_answer_of_the_only_endpoint_is_passed_on(self) -> None:
+        relay = RelayHarness(replicas=1)
+        relay.replicas[0].work_seconds = 0.6
+        response = relay.send('/look/x')
+        relay.close()
+        assert response.status == 200
+        assert len(relay.runs()) == 1
+
+    def test_preempted_stream_goes_on_at_another_endpoint(
+        self, relay: RelayHarness
+    ) -> None:
+        preempting, other = relay.replicas
+        preempting.preempt_at = 3
+        preempting.preempt_seconds = 1.5
+        while not preempting.runs():
+            started_at = time.monotonic()
+            response = relay.send('/draft/x', deadline_ms=5000)
+        assert response.is_finished
+        assert find_ids(response) == [1, 2, 3, 4]
+        assert time.monotonic() - started_at < 1.5
+        assert other.runs()[-1]['headers']['Last-Event-Id'] == '2'
+
+    def test_endpoint_that_comes_later_takes_over(
+        self, relay: RelayHarness
+    ) -> None:
+        first, late = relay.replicas
+        relay.endpoints.apply(late.identifier, None)
+        first.preempt_at = 3
+        first.preempt_seconds = 3.0
+        threading.Timer(
+            0.4, relay.endpoints.apply, (late.identifier, late.record())
+        ).start()
+        started_at = time.monotonic()
+        response = relay.send('/draft/x', deadline_ms=8000)
+        assert response.is_finished
+        assert find_ids(response) == [1, 2, 3, 4]
+        assert time.monotonic() - started_at < 3.0
+
+    # Guards against a stalled event that holds the request to its deadline.
+    def test_event_that_never_ends_is_not_waited_for(self) -> None:
+        relay = RelayHarness(replicas=1)
+        relay.replicas[0].fault = 'drip_event'
+        started_at = time.monotonic()
+        response = relay.send('/draft/x', deadline_ms=5000)
+        relay.close()
+        assert not response.is_finished
+        assert time.monotonic() - started_at < 1.5
+
+    def test_silent_endpoint_is_given_up_at_the_deadline(self) -> None:
+        relay = RelayHarness(replicas=1)
+        relay.replicas[0].fault = 'silent'
+        response = relay.send('/look/x', deadline_ms=700)
+        relay.close()
+        assert response.error is not None
+        assert response.error.status == 504
+
+
+def preempt_streams(relay: RelayHarness, seconds: float) -> None:
+    """Let all endpoints preempt streams after their second event."""
+    for replica in relay.replicas:
+        replica.preempt_at = 3
+        replica.preempt_seconds = seconds
+
+
 class TestChunkEnds:
     """The end of a chunk is not taken for the beginning of the next event."""
 
