Follow a store that comes back from an older copy

Callers would see: requests handled by routes, keys and endpoints that operators and endpoints have replaced since, until the topic has grown past what had been read, or for good; operators, roll-outs whose decision is gone.

Cause: a record was taken for known by its offset, and offsets are given out again; a read went on at an offset that now has another record before it. What the system had written was written once.

Change: answers of the store and pages between entries carry the era. In a new one, a feed compares the topic with what it read, applies what differs and keeps what is newer than the copy; the first entry that has read up to the end writes the system's records again. test_sharing.py publishes with the store's era, since a page without one is now refused; its checks are as before.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -30,6 +30,7 @@
 from ..forwarding.tables import OperatorConfig
 from ..ingress.server import IngressLimits, IngressServer
 from ..membership.feeds import Feed, PollTiming
+from ..membership.restores import LostRecordWriter
 from ..membership.sharing import SharedTopic, TopicReader
 from ..membership.startup import StartupBarrier
 from ..platform import names
@@ -167,6 +168,7 @@
             self._status_feed,
             self._shifts,
         )
+        self._lost_writer = LostRecordWriter(self._status_topic)
         self._budgets: dict[str, WindowBudget] = defaultdict(self._make_budget)
         self._draining = threading.Event()
         self._stopped = threading.Event()
@@ -446,6 +448,9 @@
     def _run_maintenance(self) -> None:
         while not self._stopped.wait(MAINTENANCE_INTERVAL_SECONDS):
             self._rollout_controller.check()
+            self._lost_writer.check(
+                self._status_feed.lost, self._status_feed.find_next_offset()
+            )
             self._connections.close_expired()
             self._metrics.proof_age.set(self._operator_feed.proof_age())
             table = self._operators.table
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 from loguru import logger
@@ -252,6 +252,15 @@
         super().record_recovery()
         self._store_returned_at = time.monotonic()
 
+    def record_restore(self, missing: Collection[str]) -> None:
+        """Expire the endpoints that the store lost; live ones register again.
+
+        Their grace period starts now.
+        """
+        self.record_recovery()
+        for key in missing:
+            self._expire(key)
+
     def record_catch_up(self) -> None:
         """Remove expired endpoints whose grace period is over."""
         super().record_catch_up()
--- a/src/toucancourse/forwarding/peers.py
+++ b/src/toucancourse/forwarding/peers.py
@@ -2,7 +2,7 @@
 
 import math
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 from typing import Final
 
 from loguru import logger
@@ -84,6 +84,10 @@
             changed=key,
         )
 
+    def record_restore(self, missing: Collection[str]) -> None:
+        """Let this entry register once more: the store may have lost it."""
+        self._has_appended = False
+
     def count(self) -> int:
         """Return the number of registered entries, at least one."""
         return max(1, len(self._entries))
@@ -211,3 +215,8 @@
         """Pass the newest content of a key to all listeners."""
         for listener in self._listeners:
             listener.apply(key, content)
+
+    def record_restore(self, missing: Collection[str]) -> None:
+        """Tell all listeners that the store came back from an older copy."""
+        for listener in self._listeners:
+            listener.record_restore(missing)
--- a/src/toucancourse/forwarding/topicreads.py
+++ b/src/toucancourse/forwarding/topicreads.py
@@ -52,6 +52,7 @@
             end=page.end,
             proof_age_ms=math.ceil(page.proof_age * MS),
             recoveries=page.recoveries,
+            era=page.era,
         )
 
 
@@ -97,4 +98,5 @@
             page.proof_age_ms / MS,
             self._address,
             page.recoveries,
+            page.era,
         )
--- a/src/toucancourse/membership/feeds.py
+++ b/src/toucancourse/membership/feeds.py
@@ -3,12 +3,14 @@
 import random
 import threading
 from abc import ABC, abstractmethod
+from collections.abc import Collection, Iterable, Sequence
 from typing import Final, NamedTuple
 
 from loguru import logger
 
 from ..errors import LogDownError
 from .clock import read_clock
+from .restores import LostRecords, find_divergence, find_missing
 from .tails import TopicTail
 from .topics import ExpiredError, Record, Records, Topic
 
@@ -33,6 +35,15 @@
         """Record that the store is reachable again; its records follow."""
         self.recoveries += 1
 
+    def record_restore(  # noqa: B027  # few listeners need it
+        self, missing: Collection[str]
+    ) -> None:
+        """Record that the store came back from an older copy.
+
+        Called before the records that were written since; `missing` are the
+        keys that it no longer has.
+        """
+
     def record_catch_up(self) -> None:  # noqa: B027  # few listeners need it
         """Record that all records up to the topic's end were applied."""
 
@@ -69,6 +80,12 @@
         self._offsets: dict[str, int] = {}
         #: Offset of the next read; None before the newest records were fetched.
         self._next_offset: int | None = None
+        #: Era of these offsets, or 0 if the store doesn't tell it.
+        self._era = 0
+        #: What the store lost and nobody has written again.
+        self.lost = LostRecords()
+        #: Key -> hash of its newest content.
+        self._digests: dict[str, int] = {}
         self._stop = threading.Event()
         self._is_down = False
         #: True if the last page came from another entry.
@@ -117,9 +134,6 @@
         start = self._next_offset
         if start is None:
             page = self._topic.fetch_newest()
-            self._record_success(page)
-            next_offset = self._synchronize(page)
-            page = page._replace(records=())
         else:
             try:
                 page = self._topic.read(start, wait_seconds)
@@ -131,22 +145,86 @@
                 )
                 self._next_offset = None
                 return
-            self._record_success(page)
-            for record in page.records:
-                self._apply_record(record)
+        self._record_success(page)
+        if self._era and page.era != self._era:
+            self._restore(started_at)
+            return
+        self._era = page.era
+        if start is None:
+            next_offset = self._synchronize(page)
+            page = page._replace(records=())
+        else:
+            self._apply_records(page.records)
             next_offset = start + len(page.records)
+        proof = started_at
+        if start is not None:
+            proof = _find_proof(page, started_at, wait_seconds)
+        self._advance(page, next_offset, proof)
+
+    def _advance(self, page: Records, next_offset: int, proof: float) -> None:
+        """Read on from an offset, up to which all records were applied.
+
+        proof is the read_clock() before which all records are on the page.
+        """
         self._next_offset = next_offset
         if next_offset >= page.end:
             self._listener.record_catch_up()
             self.caught_up.set()
-            proof = _find_proof(page, started_at, wait_seconds)
-            if start is None:
-                proof = started_at
             self.proof = max(self.proof, proof)
         self.tail.publish(
-            page.records, next_offset, self.proof, self._listener.recoveries
+            page.records,
+            next_offset,
+            self.proof,
+            self._listener.recoveries,
+            page.era,
         )
 
+    def _restore(self, started_at: float) -> None:
+        """Go on after the store came back from an older copy.
+
+        What is known here stays, since it is newer than the copy, until it is
+        written again. Raises LogDownError.
+        """
+        newest = self._topic.fetch_newest()
+        known = self.tail.list_records()
+        divergence = find_divergence(self._topic, known, newest.era)
+        present = {record.key for record in newest.records}
+        logger.warning(
+            'store restored from an older copy',
+            feed=self._name,
+            era=newest.era,
+            before=self._era,
+            lost=None if divergence is None else len(divergence.lost),
+        )
+        self._era = newest.era
+        self._listener.record_restore(
+            [key for key in self._offsets if key not in present]
+        )
+        if divergence is None:
+            self.lost.add(find_missing(known, present))
+            self._apply_unequal(newest.records)
+            self._advance(newest._replace(records=()), newest.end, started_at)
+            return
+        first = divergence.records[0].offset
+        for key, offset in self._offsets.items():
+            self._offsets[key] = min(offset, first + divergence.common - 1)
+        self.lost.add(divergence.lost)
+        self._apply_records(divergence.list_new())
+        end = first + len(divergence.records)
+        page = newest._replace(records=divergence.records, end=end)
+        self._advance(page, end, started_at)
+
+    def _apply_unequal(self, records: Sequence[Record]) -> None:
+        """Apply the newest record of each key, but for those known already."""
+        equal = {
+            record.key: record.offset
+            for record in records
+            if self._offsets.get(record.key) == record.offset
+            and self._digests.get(record.key) == hash(record.content)
+        }
+        self._offsets = equal
+        self._apply_records(records)
+
     def _record_success(self, page: Records) -> None:
         self._is_shared = bool(page.source)
         known = self._recoveries.get(page.source, page.recoveries)
@@ -168,18 +246,25 @@
         deleted = set(self._offsets) - present
         for key in deleted:
             self._offsets.pop(key)
+            self._digests.pop(key, None)
             self._listener.apply(key, None)
-        for record in page.records:
-            self._apply_record(record)
+        self._apply_records(page.records)
         return page.end
 
+    def _apply_records(self, records: Iterable[Record]) -> None:
+        for record in records:
+            self._apply_record(record)
+
     def _apply_record(self, record: Record) -> None:
         if record.offset <= self._offsets.get(record.key, -1):
             return
         if record.content is None:
             self._offsets.pop(record.key, None)
+            self._digests.pop(record.key, None)
         else:
             self._offsets[record.key] = record.offset
+            self._digests[record.key] = hash(record.content)
+        self.lost.discard(record.key)
         try:
             self._listener.apply(record.key, record.content)
         except Exception:  # noqa: BLE001 - others' records must be followed
--- a/src/toucancourse/membership/sharing.py
+++ b/src/toucancourse/membership/sharing.py
@@ -2,7 +2,7 @@
 
 import time
 from abc import ABC, abstractmethod
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 from typing import Final
 
 from loguru import logger
@@ -43,20 +43,29 @@
         self.readers: Sequence[TopicReader] = ()
         #: Address -> time.monotonic() until which it isn't asked.
         self._penalties: dict[str, float] = {}
+        #: Newest era of the store that any page told.
+        self._era = 0
 
     def fetch_newest(self) -> Records:
         """Return the newest record of each key, from the store."""
-        return self._topic.fetch_newest()
+        page = self._topic.fetch_newest()
+        self._era = max(self._era, page.era)
+        return page
 
     def read(self, start: int, wait_seconds: float) -> Records:
         """Return the records from an offset on, waiting if there are none."""
+        page = self._read_anywhere(start, wait_seconds)
+        self._era = max(self._era, page.era)
+        return page
+
+    def _read_anywhere(self, start: int, wait_seconds: float) -> Records:
         now = time.monotonic()
         for reader in self.readers:
             address = reader.describe()
             if self._penalties.get(address, 0) > now:
                 continue
             page = reader.read(self._name, start, SHARED_WAIT_SECONDS)
-            if page is not None and _is_fresh(page):
+            if page is not None and _is_fresh(page) and page.era >= self._era:
                 return page
             self._penalties[address] = time.monotonic() + PENALTY_SECONDS
             logger.info(
@@ -75,6 +84,10 @@
         """Append a record to the store."""
         return self._topic.append(key, content, at)
 
+    def append_all(self, changes: Mapping[str, bytes | None], at: int) -> bool:
+        """Append records to the store if the topic ends at an offset."""
+        return self._topic.append_all(changes, at)
+
 
 def _is_fresh(page: Records) -> bool:
     age = page.proof_age
--- a/src/toucancourse/membership/tails.py
+++ b/src/toucancourse/membership/tails.py
@@ -23,6 +23,7 @@
         self._end: int | None = None
         self._proof = float('-inf')
         self._recoveries = 0
+        self._era = 0
 
     def publish(
         self,
@@ -30,14 +31,18 @@
         end: int,
         proof: float,
         recoveries: int,
+        era: int = 0,
     ) -> None:
         """Add the records before an end, which continue the known ones.
 
         proof is the read_clock() of their freshness proof, recoveries the
-        number of the store's recoveries.
+        number of the store's recoveries, era that of the offsets.
         """
         with self._changed:
             known = self._records
+            if era != self._era:
+                known.clear()
+            self._era = era
             if known and end - len(records) != known[-1].offset + 1:
                 known.clear()
             known.extend(records)
@@ -46,6 +51,11 @@
             self._recoveries = recoveries
             self._changed.notify_all()
 
+    def list_records(self) -> tuple[Record, ...]:
+        """Return the records that are kept, without a gap."""
+        with self._changed:
+            return tuple(self._records)
+
     def mark_unavailable(self) -> None:
         """Refuse reads until the next records."""
         with self._changed:
@@ -71,4 +81,5 @@
                 self._end,
                 read_clock() - self._proof,
                 recoveries=self._recoveries,
+                era=self._era,
             )
--- a/src/toucancourse/membership/topics.py
+++ b/src/toucancourse/membership/topics.py
@@ -1,6 +1,7 @@
 """Interface of keyed topics, in which a key's newest record is its value."""
 
 from abc import ABC, abstractmethod
+from collections.abc import Mapping
 from typing import NamedTuple
 
 from ..errors import CourseError
@@ -33,6 +34,9 @@
     #: that entry saw the store recover.
     source: str = ''
     recoveries: int = 0
+    #: Rises when the store comes back from an older copy: the offsets of two
+    #: eras don't compare. 0 if the store doesn't tell it.
+    era: int = 0
 
 
 class Topic(ABC):
@@ -61,3 +65,10 @@
 
         Returns False if it does not.
         """
+
+    @abstractmethod
+    def append_all(self, changes: Mapping[str, bytes | None], at: int) -> bool:
+        """Append a record for each key, or none if the topic ends elsewhere.
+
+        Returns False in that case.
+        """
--- a/src/toucancourse/platform/names.py
+++ b/src/toucancourse/platform/names.py
@@ -27,6 +27,8 @@
 #: Set in all responses of an endpoint that is leaving.
 LEAVING: Final = 'Server-Leaving'
 COLD_REMAINING: Final = 'X-Cold-Remaining-Ms'
+#: In all answers of the store; rises when it comes back from an older copy.
+STORE_ERA: Final = 'Store-Era'
 
 #: Headers that only the router may set; removed from callers' requests.
 ROUTER_HEADERS: Final = frozenset(
--- a/src/toucancourse/platform/store.py
+++ b/src/toucancourse/platform/store.py
@@ -4,7 +4,7 @@
 import json
 import struct
 import threading
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from functools import partial
 from http import HTTPStatus
 from http.client import HTTPException
@@ -16,6 +16,7 @@
 from ..errors import DECODE_ERRORS, LogDownError
 from ..interfaces.responses import CheckedConnection, CheckedResponse
 from ..membership.topics import ExpiredError, Record, Records, Topic
+from .names import STORE_ERA
 
 #: Timeout of a call, added to the wait of a long poll. A call usually takes
 #: 4 ms; the timeout still allows a store that is fifty times slower.
@@ -62,8 +63,9 @@
         #: Number of calls on the connection. The answer to the first can't be
         #: that to an earlier call.
         self._calls = 0
-        #: The topic's end as of the newest answer.
+        #: The topic's end as of the newest answer, and the era of that offset.
         self._end = 0
+        self._era = 0
 
     def fetch_newest(self) -> Records:
         """Return the newest record of each key, read page by page.
@@ -82,7 +84,7 @@
             if end < 0:
                 end = page.end
             if not page.has_more or not page.records:
-                return Records(tuple(records), end)
+                return Records(tuple(records), end, era=self._era)
             after = records[-1].key
 
     def read(self, start: int, wait_seconds: float) -> Records:
@@ -106,15 +108,24 @@
 
         Returns False if it has grown. Raises LogDownError.
         """
-        name = key.encode()
-        record = bytes([len(name)]) + name + (content or b'')
-        body = RECORD_LENGTH.pack(len(record)) + record
-        condition = {} if at is None else {'at': at}
+        return self._append(_encode_record(key, content), at)
+
+    def append_all(self, changes: Mapping[str, bytes | None], at: int) -> bool:
+        """Append a record for each key, or none if the topic ends elsewhere.
+
+        Returns False in that case. Raises LogDownError.
+        """
+        records = (
+            _encode_record(key, content) for key, content in changes.items()
+        )
+        return self._append(b''.join(records), at)
+
+    def _append(self, body: bytes, at: int | None) -> bool:
         return self._send_request(
             'POST',
             '/log-append',
             partial(self._decode_appended, at),
-            condition,
+            {} if at is None else {'at': at},
             body,
         )
 
@@ -138,7 +149,7 @@
         next_offset = start + len(records)
         self._check_own(next_offset <= end)
         self._record_end(end)
-        return Records(records, max(end, next_offset))
+        return Records(records, max(end, next_offset), era=self._era)
 
     def _decode_appended(
         self, at: int | None, response: _StoreResponse
@@ -156,6 +167,15 @@
         self._record_end(int(appended['endOffset']))
         return True
 
+    def _record_era(self, text: str | None) -> None:
+        """Record the era of an answer, which is never before an earlier one."""
+        if not text or not text.isdecimal() or int(text) == self._era:
+            return
+        era = int(text)
+        self._check_own(era > self._era)
+        self._era = era
+        self._end = 0
+
     def _record_end(self, end: int) -> None:
         """Record the topic's end, which is never before an earlier one."""
         self._check_own(end >= self._end)
@@ -197,6 +217,7 @@
                 response = connection.getresponse()
                 content = response.read()
                 self._check_trailing(response)
+                self._record_era(response.getheader(STORE_ERA))
                 return decode(_StoreResponse(response.status, content))
             except _CALL_ERRORS as error:
                 # After a failed or timed out call the connection is unusable: a
@@ -253,6 +274,12 @@
         self._connection = None
 
 
+def _encode_record(key: str, content: bytes | None) -> bytes:
+    name = key.encode()
+    record = bytes([len(name)]) + name + (content or b'')
+    return RECORD_LENGTH.pack(len(record)) + record
+
+
 def _decode_item(item: dict[str, Any]) -> Record:
     content = base64.b64decode(item['value'])
     return Record(str(item['key']), content, int(item['offset']))
--- a/standins/keyedstore.py
+++ b/standins/keyedstore.py
@@ -1,12 +1,13 @@
 """Emulates the platform's store: topics of keyed records in a log."""
 
 import base64
+import copy
 import struct
 import threading
 import time
 from collections import defaultdict
 from http.server import ThreadingHTTPServer
-from typing import Any
+from typing import Any, NamedTuple
 
 from .calls import find_port
 from .serving import Request, serve
@@ -14,6 +15,14 @@
 MAX_WAIT_SECONDS = 5.0
 
 
+class StoreCopy(NamedTuple):
+    """The content of a store at some time."""
+
+    records: dict[str, list[tuple[str, bytes]]]
+    first: dict[str, int]
+    kept: dict[str, dict[str, tuple[bytes, int]]]
+
+
 class KeyedStore:
     """Serves appends, reads and newest records, with faults set by tests."""
 
@@ -23,6 +32,10 @@
         self._changed = threading.Condition()
         self._records: dict[str, list[tuple[str, bytes]]] = defaultdict(list)
         self._first: dict[str, int] = defaultdict(int)
+        #: Topic -> newest record of each key when it was compacted.
+        self._kept: dict[str, dict[str, tuple[bytes, int]]] = {}
+        #: How often the store came back from a copy, and one more.
+        self.era = 1
         #: Error status of every response, or 0 to serve requests.
         self.error_status = 0
         #: True to close every connection without a response, after 5 s.
@@ -64,7 +77,26 @@
             kept = self._find_newest(topic)
             self._records[topic] = []
             self._first[topic] = end
-            self._kept = {**getattr(self, '_kept', {}), topic: kept}
+            self._kept[topic] = kept
+
+    def copy(self) -> StoreCopy:
+        """Return a copy of what the store holds now."""
+        with self._changed:
+            content = (dict(self._records), dict(self._first), self._kept)
+            return StoreCopy(*copy.deepcopy(content))
+
+    def restore(self, content: StoreCopy) -> None:
+        """Come back from a copy; what was written since is gone.
+
+        Reads that wait get no answer.
+        """
+        with self._changed:
+            records, first, kept = copy.deepcopy(content)
+            self._records = defaultdict(list, records)
+            self._first = defaultdict(int, first)
+            self._kept = kept
+            self.era += 1
+            self._changed.notify_all()
 
     def close(self) -> None:
         """Stop serving."""
@@ -72,7 +104,7 @@
         self._server.server_close()
 
     def _find_newest(self, topic: str) -> dict[str, tuple[bytes, int]]:
-        newest = dict(getattr(self, '_kept', {}).get(topic, {}))
+        newest = dict(self._kept.get(topic, {}))
         for offset, (key, content) in enumerate(
             self._records[topic], self._first[topic]
         ):
@@ -84,6 +116,7 @@
 
     def _route(self, request: Request) -> None:
         self.calls[request.path] += 1
+        request.added_headers['Store-Era'] = str(self.era)
         if self.is_silent:
             time.sleep(MAX_WAIT_SECONDS)
             request.drop()
@@ -120,14 +153,19 @@
         start = int(request.query['source'])
         wait = min(int(request.query.get('waitMs', 0)) / 1000, MAX_WAIT_SECONDS)
         with self._changed:
-            self._changed.wait_for(
-                lambda: start < self._first[topic] + len(self._records[topic]),
-                wait,
-            )
+            era = self.era
+            if start <= self._find_end(topic):
+                self._changed.wait_for(
+                    lambda: start < self._find_end(topic) or self.era != era,
+                    wait,
+                )
             first = self._first[topic]
             records = self._records[topic][max(0, start - first) :]
-            end = first + len(self._records[topic])
-        if start < first:
+            end = self._find_end(topic)
+        if self.era != era:
+            request.drop()
+            return
+        if not first <= start <= end:
             request.reply({'firstOffset': first}, 410)
             return
         body = struct.pack('>QQ', end, first)
@@ -137,6 +175,9 @@
             body += struct.pack('>I', len(record)) + record
         _send_raw(request, body)
 
+    def _find_end(self, topic: str) -> int:
+        return self._first[topic] + len(self._records[topic])
+
     def _reply_newest(self, request: Request) -> None:
         topic = request.query['topic']
         with self._changed:
@@ -156,5 +197,7 @@
 def _send_raw(request: Request, body: bytes) -> None:
     request.handler.send_response(200)
     request.handler.send_header('Content-Length', str(len(body)))
+    for name, text in request.added_headers.items():
+        request.handler.send_header(name, text)
     request.handler.end_headers()
     request.handler.wfile.write(body)
--- a/standins/serving.py
+++ b/standins/serving.py
@@ -19,6 +19,8 @@
         """Read the body; raises ConnectionError if it is incomplete."""
         parts = urlsplit(handler.path)
         self.handler = handler
+        #: Sent with each JSON response.
+        self.added_headers: dict[str, str] = {}
         self.method = handler.command
         self.path = parts.path
         self.query = dict(parse_qsl(parts.query))
@@ -39,6 +41,8 @@
         self.handler.send_response(status)
         self.handler.send_header('Content-Type', 'application/json')
         self.handler.send_header('Content-Length', str(len(body)))
+        for name, text in self.added_headers.items():
+            self.handler.send_header(name, text)
         self.handler.end_headers()
         self.handler.wfile.write(body)
 
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -3,7 +3,7 @@
 import threading
 import time
 import uuid
-from collections.abc import Callable
+from collections.abc import Callable, Mapping
 from typing import Any
 
 from prometheus_client import CollectorRegistry
@@ -124,6 +124,14 @@
         self.records.append(Record(key, content, len(self.records)))
         return True
 
+    def append_all(self, changes: Mapping[str, bytes | None], at: int) -> bool:
+        """Append records if the topic ends there."""
+        if at != len(self.records):
+            return False
+        for key, content in changes.items():
+            self.append(key, content)
+        return True
+
 
 class RelayHarness:
     """A relay in front of stand-in endpoints."""
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,7 +1,7 @@
 """Unit tests of feeds: gaps, outages, compaction and freshness proofs."""
 
 import threading
-from collections.abc import Callable, Iterator
+from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
 import pytest
@@ -61,6 +61,10 @@
         """Return False, as if the topic's end were another."""
         return False
 
+    def append_all(self, changes: Mapping[str, bytes | None], at: int) -> bool:
+        """Return False, as if the topic's end were another."""
+        return False
+
     def _next(self) -> Records:
         step = self.steps.pop(0)
         if isinstance(step, Exception):
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -307,6 +307,38 @@
         wait_until(fleet.is_ready, 5, 'readiness')
 
 
+class TestRestoredStore:
+    """The store comes back from a copy that is some seconds old."""
+
+    # Guards against changes that are ignored, and records that stay lost.
+    def test_changes_apply_and_own_records_return(self, fleet: Fleet) -> None:
+        copied = fleet.store.copy()
+        fleet.store.put('keyed.op', 'config', make_operator_config(2))
+        fleet.store.put('keyed.status', 'rollout/other', b'{}')
+        wait_until(
+            lambda: '"revision": 2' in fleet.log.read_text(), 3, 'configuration'
+        )
+        time.sleep(2.2)
+        fleet.store.error_status = 503
+        time.sleep(0.5)
+        fleet.store.restore(copied)
+        table = make_operator_config(
+            3, tenants=[{'name': 'b', 'apiKeys': ['other']}]
+        )
+        fleet.store.put('keyed.op', 'config', table)
+        fleet.store.error_status = 0
+        wait_until(lambda: fleet.send('/look/x').status == 401, 2, 'new keys')
+        assert fleet.send('/look/x', key='other').status == 200
+        wait_until(
+            lambda: (
+                {'rollout/other', 'entry/entry-1'}
+                <= set(fleet.store.newest('keyed.status'))
+            ),
+            4,
+            'the records of the system',
+        )
+
+
 def allow_seconds(fleet: Fleet, seconds: int) -> None:
     """Publish a configuration whose routes allow so much time."""
     config = json.loads(make_operator_config(2))
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -145,7 +145,7 @@
             reader.stop()
         time.sleep(READER_TIMING.wait_seconds + 0.1)
         fleet.reader_feeds[0].tail.publish(
-            (Record('config', b'2', 1),), 2, read_clock(), 0
+            (Record('config', b'2', 1),), 2, read_clock(), 0, fleet.store.era
         )
         wait_until(
             lambda: fleet.table.contents['config'] == b'2', 1, 'shared record'
