--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -7,8 +7,8 @@
 FIXED_SEEDS: tuple[int, ...] = (1001, 1002)
 
 
-#: Seeds of each scenario. On c182925, 'endpoints', 'stops' 1 and 'kills' failed,
-#: on 65c09ec 'stutters', on 2517148 'stops' 4102 and 'restores'.
+#: Seeds of each scenario. 'endpoints', 'stops' 1 and 'kills' failed on c182925,
+#: 'stutters' on 65c09ec, 'stops' 4102 and 'restores' on 2517148.
 SCENARIO_SEEDS: tuple[tuple[str, int], ...] = (
     ('endpoints', 104),
     ('crashes', 1),
