Survive a SIGHUP that comes while the process starts

Callers would see: resets of connections that wait at a starting entry, whose process ends.

Cause: until the entry is built, SIGHUP has its default action, which ends the process.

Change: it is ignored until then; the settings were read just before.

--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -109,6 +109,8 @@
     # Writes the stacks of all threads if the interpreter crashes.
     faulthandler.enable()
     writer = set_up_node_logs(settings.instance, 'DEBUG')
+    # The settings were read just now, so a change has nothing to reload yet.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     stop_requested = _install_stop_signals()
     module = importlib.import_module('.node', __package__)
     try:
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -558,6 +558,34 @@
             return
 
 
+class TestStart:
+    """Signals that come while the process starts."""
+
+    # Guards against a process that a change of its settings ends.
+    def test_sighup_before_the_entry_serves_is_survived(
+        self, fleet: Fleet
+    ) -> None:
+        fleet.node.stop(10)
+        fleet.node.start()
+        process = fleet.node.process
+        assert process is not None
+        status = Path(f'/proc/{process.pid}/status')
+        wait_until(lambda: _catches(status, signal.SIGTERM), 5, 'handlers')
+        fleet.node.send_signal(signal.SIGHUP)
+        wait_until(fleet.is_ready, 10, 'readiness')
+        assert process.poll() is None
+
+
+def _catches(status: Path, number: signal.Signals) -> bool:
+    """Return True if a process has a handler of a signal."""
+    line = next(
+        line
+        for line in status.read_text().splitlines()
+        if line.startswith('SigCgt')
+    )
+    return bool(int(line.split()[1], 16) >> (number - 1) & 1)
+
+
 class TestCheck:
     """`--check` reports a bad setting in one line."""
 
