Queue requests that no new thread can be started for

Callers would see: their connections closed without an answer, while the request waits in the queue of the pool and may still be passed on.

Cause: the pool raises RuntimeError once the system allows no further thread, after it has queued the task; waitress closes the connection for it.

Change: the error is logged, and the request waits for a thread that runs.

Result: the new test failed before, with an empty answer.

--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -52,10 +52,21 @@
         """Create a pool of at most this many threads."""
         threading.stack_size(THREAD_STACK_BYTES)
         self._pool = ThreadPoolExecutor(threads, 'request')
+        self._has_thread = False
 
     def add_task(self, task: Any) -> None:
-        """Queue a channel's next request."""
-        self._pool.submit(self._run, task)
+        """Queue a channel's next request.
+
+        If no further thread can be started, it waits for one that runs.
+        """
+        try:
+            self._pool.submit(self._run, task)
+        except RuntimeError as error:
+            # The pool has queued the task before it starts a thread.
+            if not self._has_thread:
+                raise
+            logger.warning('thread not started', why=repr(error))
+        self._has_thread = True
 
     def shutdown(self) -> None:
         """Cancel queued requests and accept no more."""
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -222,3 +222,29 @@
             assert b' 503 ' in head
             assert b'Connection: close' in head
             caller.close()
+
+
+class TestThreads:
+    """Requests that no new thread can be started for."""
+
+    # Guards against connections that are closed without an answer.
+    def test_request_waits_for_a_thread_that_runs(
+        self, ingress: Ingress, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        first = ingress.connect()
+        first.send('/stream')
+        first.read_head()
+
+        def fail(_: threading.Thread) -> None:
+            raise RuntimeError("can't start new thread")
+
+        monkeypatch.setattr(threading.Thread, 'start', fail)
+        others = [ingress.connect() for _ in range(3)]
+        for caller in others:
+            caller.send('/plain')
+        time.sleep(0.1)
+        ingress.end_streams()
+        for caller in others:
+            assert b'200 OK' in caller.read_head()
+            caller.close()
+        first.close()
