Take a late end of a chunk for no event

Callers would see: a stream cut after four pauses at a sound endpoint that writes the end of a chunk apart from its event.

Cause: the read of that end kept the deadline of the event before, which had passed, and its failure was taken for data.

Change: the read has the deadline of the wait.

--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -190,7 +190,10 @@
                 poll.register(self._sock, select.POLLIN)
                 if not poll.poll(remaining * MS_PER_SECOND):
                     return False
-                if response is None or not response.buffer_chunk_end():
+                if response is None:
+                    return True
+                response.set_deadline(until)
+                if not response.buffer_chunk_end():
                     return True
             except (OSError, ValueError):
                 return True
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -210,6 +210,8 @@
         #: how long, in seconds.
         self.preempt_at = 0
         self.preempt_seconds = 0.0
+        #: Delay between an event and the end of its chunk, in seconds.
+        self.chunk_end_delay = 0.0
         #: Part of a prompt on which the endpoint crashes as it begins to write
         #: a stream.
         self.crashing_part = ''
@@ -477,7 +479,13 @@
                 if number == cut_at:
                     event = event[:8]
                 if is_framed:
-                    event = b'%x\r\n%b\r\n' % (len(event), event)
+                    handler.wfile.write(b'%x\r\n' % len(event))
+                    event += b'\r\n'
+                if is_framed and self.chunk_end_delay:
+                    handler.wfile.write(event[:-2])
+                    handler.wfile.flush()
+                    time.sleep(self.chunk_end_delay)
+                    event = event[-2:]
                 handler.wfile.write(event)
                 handler.wfile.flush()
                 if number == cut_at:
--- a/tests/test_patience.py
+++ b/tests/test_patience.py
@@ -227,6 +227,17 @@
 class TestChunkEnds:
     """The end of a chunk is not taken for the beginning of the next event."""
 
+    # Guards against a wait for an event that has not begun.
+    @pytest.mark.usefixtures('impatient')
+    def test_late_end_of_a_chunk_begins_no_event(self) -> None:
+        relay = RelayHarness(replicas=1)
+        relay.replicas[0].chunk_end_delay = 0.25
+        preempt_streams(relay, 0.5)
+        response = relay.send('/draft/x', deadline_ms=5000)
+        relay.close()
+        assert response.is_finished
+        assert find_ids(response) == [1, 2, 3, 4]
+
     # Guards against a stream that is held longer at an endpoint that is silent.
     def test_silent_endpoint_is_left_after_the_shorter_pause(
         self, relay: RelayHarness, monkeypatch: pytest.MonkeyPatch
