Compare a restored store from the first record that it keeps

Callers would see: configurations and endpoints that revert for a moment, and decisions that stay lost, once the topic is older than the store's history.

Cause: the comparison began at the first record that the feed keeps; if the store had dropped that, it was taken for a copy without a common record.

Change: the refusal tells where the topic begins, and the comparison starts there. ScriptedTopic's error in test_feeds.py names an offset now; its checks are as before.

--- a/src/toucancourse/membership/restores.py
+++ b/src/toucancourse/membership/restores.py
@@ -46,8 +46,11 @@
     try:
         records = _read_all(topic, known[0].offset, era) if known else ()
     except ExpiredError as error:
-        logger.info('known records not compared', why=error.text)
-        return None
+        kept = [record for record in known if record.offset >= error.first]
+        if len(kept) == len(known):
+            logger.info('known records not compared', why=error.text)
+            return None
+        return find_divergence(topic, kept, era)
     pairs = zip(records, known, strict=False)
     common = sum(1 for _ in takewhile(_is_equal, pairs))
     if not common:
--- a/src/toucancourse/membership/topics.py
+++ b/src/toucancourse/membership/topics.py
@@ -12,6 +12,11 @@
 
     code = 'records_expired'
 
+    def __init__(self, text: str, first: int) -> None:
+        """Create an error with the offset of the first record that is kept."""
+        super().__init__(text)
+        self.first = first
+
 
 class Record(NamedTuple):
     """One record of a keyed topic."""
--- a/src/toucancourse/platform/store.py
+++ b/src/toucancourse/platform/store.py
@@ -142,7 +142,11 @@
     def _decode_page(self, start: int, response: _StoreResponse) -> Records:
         """Return the records from an offset on; raise ExpiredError."""
         if response.status == HTTPStatus.GONE:
-            raise ExpiredError(f'topic "{self._topic}" begins after {start}')
+            first = int(json.loads(response.body)['firstOffset'])
+            raise ExpiredError(
+                f'topic "{self._topic}" begins at {first}, not at {start}',
+                first,
+            )
         self._check_status(response)
         end, _ = PAGE_HEADER.unpack_from(response.body)
         records = _decode_records(response.body, start)
--- a/standins/keyedstore.py
+++ b/standins/keyedstore.py
@@ -79,6 +79,19 @@
             self._first[topic] = end
             self._kept[topic] = kept
 
+    def trim(self, topic: str, before: int) -> None:
+        """Drop the records before an offset, but for each key's newest."""
+        with self._changed:
+            kept = self._find_newest(topic)
+            count = before - self._first[topic]
+            self._records[topic] = self._records[topic][count:]
+            self._first[topic] = before
+            self._kept[topic] = {
+                key: newest
+                for key, newest in kept.items()
+                if newest[1] < before
+            }
+
     def copy(self) -> StoreCopy:
         """Return a copy of what the store holds now."""
         with self._changed:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -229,7 +229,7 @@
     def test_newest_records_are_fetched_after_expiry(self) -> None:
         table = TableListener()
         newest = Records((Record('a', b'1', 8),), 9)
-        topic = ScriptedTopic(Records((), 0), ExpiredError('gone'), newest)
+        topic = ScriptedTopic(Records((), 0), ExpiredError('gone', 1), newest)
         feed = Feed('test', topic, table, PollTiming(0, 0))
         for _ in range(3):
             feed._poll_once()
--- a/tests/test_restores.py
+++ b/tests/test_restores.py
@@ -165,6 +165,28 @@
         assert follower.table.contents['config'] == b'2'
         assert 'gone' not in follower.table.contents
 
+    # Guards against the same once the store has dropped older records.
+    def test_newer_knowledge_is_kept_in_a_trimmed_topic(
+        self, follower: Follower
+    ) -> None:
+        for number in range(4):
+            follower.put('config', b'%d' % number)
+        follower.put('gone', b'1')
+        follower.store.trim(TOPIC, 3)
+        copied = follower.store.copy()
+        follower.put('config', b'9')
+        follower.put('gone', None)
+        follower.restore(copied, ('other', b'1'))
+        wait_until(
+            lambda: 'other' in follower.table.contents, APPLY_SECONDS, 'record'
+        )
+        assert follower.table.contents['config'] == b'9'
+        assert 'gone' not in follower.table.contents
+        assert follower.feed.lost.list_changes() == {
+            'config': b'9',
+            'gone': None,
+        }
+
     # Guards against decisions of the system that stay lost.
     def test_lost_records_are_written_again_once(
         self, follower: Follower
