--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -1,6 +1,6 @@
 """Version selection during roll-outs, and their decisions."""
 
-from collections.abc import Iterator
+from collections.abc import Iterator, Mapping
 
 import pytest
 from hypothesis import settings
@@ -86,6 +86,14 @@
             raise LogDownError('response lost')
         return True
 
+    def append_all(self, changes: Mapping[str, bytes | None], at: int) -> bool:
+        """Append records if the topic ends there."""
+        if at != len(self.records):
+            return False
+        for key, content in changes.items():
+            self.append(key, content)
+        return True
+
 
 class Entry:
     """One entry's view of a roll-out."""
