--- a/src/toucancourse/forwarding/objects.py
+++ b/src/toucancourse/forwarding/objects.py
@@ -184,6 +184,8 @@
     running: int
     waiting: int
     slots: int
+    #: How long work takes on the endpoint's machine now, relative to usual.
+    slowdown: float = 1.0
 
 
 class ResponseHead(NamedTuple):
--- a/src/toucancourse/forwarding/reporting.py
+++ b/src/toucancourse/forwarding/reporting.py
@@ -2,9 +2,9 @@
 
 import threading
 import time
-from collections.abc import Callable, Iterator, Mapping
+from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from typing import Final, NamedTuple
+from typing import Final, TypeVar
 
 import grpc
 from loguru import logger
@@ -13,6 +13,7 @@
 from ..protocol import peer_pb2, peer_pb2_grpc
 from ..protocol.transports import CHANNEL_OPTIONS, lengthen_grpc_waits
 from .loads import NO_WORKLOAD, STALE_SECONDS, PeerLoads, Workload
+from .peerstates import NO_SLOWNESS, LocalState, Slowness, StateListener
 from .topicreads import TopicServicer
 
 #: Pause between two reports, in seconds: prefill takes longer, and shorter
@@ -28,6 +29,7 @@
 #: Reads of topics that wait at this entry at the same time.
 MAX_TOPIC_READS: Final = 120
 MS: Final = 1000
+PERCENT: Final = 100
 #: Pause between keep-alive pings, in milliseconds: after a reset or a network
 #: partition a connection may stay open without any response.
 KEEPALIVE_MS: Final = 2000
@@ -40,17 +42,9 @@
 )
 
 
-class LocalState(NamedTuple):
-    """State that an entry reports to the others."""
-
-    #: Endpoint's digest -> this entry's workload there.
-    workloads: Mapping[int, Workload]
-    #: Digest of a session pinned to a baseline version -> read_clock() of
-    #: its end.
-    sessions: Mapping[int, float]
-
-
 CollectState = Callable[[], LocalState]
+_State = TypeVar('_State')
+_NO_STATE: Final = (NO_WORKLOAD, NO_SLOWNESS)
 #: Pins a session, given its digest and the seconds until it ends.
 PinSession = Callable[[int, float], None]
 
@@ -58,10 +52,19 @@
 class LoadServicer(peer_pb2_grpc.LoadsServicer):
     """Receives the reports of other entries."""
 
-    def __init__(self, loads: PeerLoads, pin_session: PinSession) -> None:
-        """Create a servicer that applies workloads and session pins."""
+    def __init__(
+        self,
+        loads: PeerLoads,
+        pin_session: PinSession,
+        listeners: Sequence[StateListener] = (),
+    ) -> None:
+        """Create a servicer that applies workloads and session pins.
+
+        The listeners receive each report whole.
+        """
         self._loads = loads
         self._pin_session = pin_session
+        self._listeners = listeners
 
     def Tell(  # noqa: N802  # the name that gRPC generates
         self,
@@ -74,13 +77,18 @@
         try:
             for report in request_iterator:
                 instance = report.instance or instance
-                self._loads.update(instance, stream, _decode(report))
+                state = _decode(report)
+                self._loads.update(instance, stream, state.workloads)
                 for session in report.sessions:
                     self._pin_session(session.session, session.left_ms / MS)
+                for listener in self._listeners:
+                    listener.update(instance, stream, state)
         except grpc.RpcError as error:
             logger.debug('report stream broken', peer=instance, why=repr(error))
         finally:
             self._loads.drop(instance, stream)
+            for listener in self._listeners:
+                listener.drop(instance, stream)
         return peer_pb2.LoadEnd()
 
 
@@ -118,22 +126,19 @@
         self._stopped.set()
 
     def _make_reports(self) -> Iterator[peer_pb2.LoadReport]:
-        reported: dict[int, Workload] = {}
-        sessions: Mapping[int, float] = {}
+        reported = LocalState({}, {})
         last = 0.0
         while not self._stopped.is_set():
             state = self._collect()
-            changed = _find_changes(reported, state.workloads)
-            reported.update(changed)
-            extended = _find_extended(sessions, state.sessions)
-            sessions = state.sessions
+            changed = _find_changes(reported, state)
+            reported = state
             now = time.monotonic()
             if self._is_disconnected and last:
                 self._is_disconnected = False
                 logger.info('peer reconnected', peer=self._address)
-            if changed or extended or now - last >= EMPTY_REPORT_SECONDS:
+            if any(changed) or now - last >= EMPTY_REPORT_SECONDS:
                 name = '' if last else self._instance
-                yield _encode(name, changed, extended)
+                yield _encode(name, changed)
                 last = now
             self._stopped.wait(REPORT_INTERVAL_SECONDS)
 
@@ -207,71 +212,104 @@
             ).start()
 
 
-def _find_changes(
-    reported: Mapping[int, Workload],
-    workloads: Mapping[int, Workload],
-) -> dict[int, Workload]:
-    """Return the workloads that differ from those reported."""
-    changed = {
-        digest: workload
-        for digest, workload in workloads.items()
-        if reported.get(digest, NO_WORKLOAD) != workload
+def _find_changes(reported: LocalState, state: LocalState) -> LocalState:
+    """Return what differs from the state that was reported."""
+    endpoints = _find_changed(
+        _join_endpoints(reported), _join_endpoints(state), _NO_STATE
+    )
+    extended = {
+        digest: until
+        for digest, until in state.sessions.items()
+        if until > reported.sessions.get(digest, 0.0)
     }
-    removed = (digest for digest in reported if digest not in workloads)
-    changed.update(
-        (digest, NO_WORKLOAD)
-        for digest in removed
-        if reported[digest] != NO_WORKLOAD
+    return LocalState(
+        {digest: workload for digest, (workload, _) in endpoints.items()},
+        extended,
+        {digest: slowness for digest, (_, slowness) in endpoints.items()},
+        _find_changed(reported.accounts, state.accounts, 0.0),
     )
-    return changed
 
 
-def _find_extended(
-    reported: Mapping[int, float],
-    sessions: Mapping[int, float],
-) -> dict[int, float]:
-    """Return the sessions that end later than was reported."""
+def _join_endpoints(
+    state: LocalState,
+) -> dict[int, tuple[Workload, Slowness]]:
+    """Return workload and slowness of each endpoint that has one of them."""
     return {
-        digest: until
-        for digest, until in sessions.items()
-        if until - reported.get(digest, 0.0) > 0
+        digest: (
+            state.workloads.get(digest, NO_WORKLOAD),
+            state.slowness.get(digest, NO_SLOWNESS),
+        )
+        for digest in state.workloads.keys() | state.slowness.keys()
+    }
+
+
+def _find_changed(
+    reported: Mapping[int, _State],
+    current: Mapping[int, _State],
+    default: _State,
+) -> dict[int, _State]:
+    """Return the states that were not reported as they are now."""
+    return {
+        digest: current.get(digest, default)
+        for digest in reported.keys() | current.keys()
+        if reported.get(digest, default) != current.get(digest, default)
     }
 
 
-def _encode(
-    instance: str,
-    changed: Mapping[int, Workload],
-    extended: Mapping[int, float],
-) -> peer_pb2.LoadReport:
+def _encode(instance: str, changed: LocalState) -> peer_pb2.LoadReport:
     now = read_clock()
     return peer_pb2.LoadReport(
         instance=instance,
         loads=[
-            peer_pb2.EndpointLoad(
-                endpoint=digest,
-                running=workload.running,
-                reading_ms=[
-                    int(seconds * MS) for seconds in workload.prefill_seconds
-                ],
-            )
-            for digest, workload in changed.items()
+            _encode_endpoint(digest, workload, slowness)
+            for digest, (workload, slowness) in _join_endpoints(changed).items()
         ],
         sessions=[
             peer_pb2.OldSession(
                 session=digest, left_ms=max(0, int((until - now) * MS))
             )
-            for digest, until in extended.items()
+            for digest, until in changed.sessions.items()
+        ],
+        accounts=[
+            peer_pb2.AccountUse(account=digest, work_ms=int(use * MS))
+            for digest, use in changed.accounts.items()
         ],
     )
 
 
-def _decode(report: peer_pb2.LoadReport) -> dict[int, Workload]:
-    return {
-        load.endpoint: Workload(
-            load.running, tuple(prefill / MS for prefill in load.reading_ms)
-        )
-        for load in report.loads
-    }
+def _encode_endpoint(
+    digest: int, workload: Workload, slowness: Slowness
+) -> peer_pb2.EndpointLoad:
+    return peer_pb2.EndpointLoad(
+        endpoint=digest,
+        running=workload.running,
+        reading_ms=[int(seconds * MS) for seconds in workload.prefill_seconds],
+        slowness_percent=round(slowness.ratio * PERCENT),
+        samples=slowness.samples,
+    )
+
+
+def _decode(report: peer_pb2.LoadReport) -> LocalState:
+    now = read_clock()
+    return LocalState(
+        {
+            load.endpoint: Workload(
+                load.running, tuple(prefill / MS for prefill in load.reading_ms)
+            )
+            for load in report.loads
+        },
+        {
+            session.session: now + session.left_ms / MS
+            for session in report.sessions
+        },
+        {
+            load.endpoint: Slowness(
+                load.slowness_percent / PERCENT or 1.0, load.samples
+            )
+            for load in report.loads
+        },
+        {use.account: use.work_ms / MS for use in report.accounts},
+    )
 
 
 def _describe_error(error: grpc.RpcError) -> str:
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -54,6 +54,8 @@
     endpoint: Endpoint
     #: Predicted seconds, weighted by the failure rate; the lowest is best.
     score: float
+    #: Predicted seconds to the response, or to the first event of a stream.
+    latency: float
     #: Predicted seconds from the first event to the last.
     stream_seconds: float
     #: Prompt tokens without a cached prefix there, and their prefill time.
@@ -146,7 +148,9 @@
             self._prefill.find_slowest_average(),
             self._loads.find(identifier),
         )
-        score = (BASE_LATENCY_SECONDS + prefill + wait) * endpoint.latency_ratio
+        latency = BASE_LATENCY_SECONDS + prefill + wait
+        latency *= endpoint.latency_ratio
+        score = latency
         if endpoint.record.zone != self._zone:
             score += _estimate_cross_zone_cost(call)
         failing = self._outliers.get_failure_rate(identifier)
@@ -156,7 +160,7 @@
         score *= 1 + random.random() * JITTER
         stream_seconds = criteria.events * endpoint.pace.find_pause()
         return ScoredEndpoint(
-            endpoint, score, stream_seconds, uncached, prefill
+            endpoint, score, latency, stream_seconds, uncached, prefill
         )
 
 
--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -21,6 +21,10 @@
 ANY_MODEL = '*'
 EVENT_STREAM = 'text/event-stream'
 MS_PER_SECOND = 1000.0
+PERCENT = 100
+#: Figures of a load report: those that each has, and those that are known.
+MIN_LOAD_FIGURES = 3
+LOAD_FIGURES = 4
 #: Deadline of a request that states none.
 DEFAULT_DEADLINE_MS = '30000'
 
@@ -142,12 +146,18 @@
 
 
 def _decode_load(text: str) -> Load | None:
-    counts = text.split(',')
-    if len(counts) != 3:
+    """Return a load report, or None if it is not one.
+
+    Figures after the known ones are ignored.
+    """
+    figures = text.split(',')[:LOAD_FIGURES]
+    if len(figures) < MIN_LOAD_FIGURES:
         return None
-    if not all(count.strip().isdecimal() for count in counts):
+    if not all(figure.strip().isdecimal() for figure in figures):
         return None
-    return Load(*(int(count) for count in counts))
+    running, waiting, slots, *rest = (int(figure) for figure in figures)
+    slowdown = rest[0] / PERCENT if rest and rest[0] else 1.0
+    return Load(running, waiting, slots, slowdown)
 
 
 def _decode_number(
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -13,6 +13,7 @@
     PeerLoads,
     Workload,
 )
+from toucancourse.forwarding.peerstates import Slowness, StateListener
 from toucancourse.forwarding.prefill import PrefillEstimator
 from toucancourse.forwarding.reporting import (
     MAX_PEERS,
@@ -151,6 +152,25 @@
         assert max(totals) - min(totals) <= 1
 
 
+class RecordedStates(StateListener):
+    """Newest slowness and account use that other entries reported."""
+
+    def __init__(self) -> None:
+        """Create it without reports."""
+        self.slowness: dict[int, Slowness] = {}
+        self.accounts: dict[int, float] = {}
+        self.dropped = 0
+
+    def update(self, instance: str, stream: object, state: LocalState) -> None:
+        """Record what a report has."""
+        self.slowness.update(state.slowness)
+        self.accounts.update(state.accounts)
+
+    def drop(self, instance: str, stream: object) -> None:
+        """Count streams that ended."""
+        self.dropped += 1
+
+
 class Peer:
     """One entry that sends and receives reports."""
 
@@ -160,11 +180,19 @@
         self.loads = PeerLoads(lambda: 2)
         self.workloads: dict[int, Workload] = {}
         self.sessions: dict[int, float] = {}
+        self.slowness: dict[int, Slowness] = {}
+        self.accounts: dict[int, float] = {}
         self.pinned: dict[int, float] = {}
+        self.heard = RecordedStates()
         self.reporters = LoadReporters(
             self.address,
-            lambda: LocalState(dict(self.workloads), dict(self.sessions)),
-            LoadServicer(self.loads, self.pinned.__setitem__),
+            lambda: LocalState(
+                dict(self.workloads),
+                dict(self.sessions),
+                dict(self.slowness),
+                dict(self.accounts),
+            ),
+            LoadServicer(self.loads, self.pinned.__setitem__, (self.heard,)),
         )
         self.reporters.serve(self.address, TopicServicer({}))
 
@@ -206,6 +234,23 @@
         here.close()
         there.close()
 
+    def test_slowness_and_account_use_are_reported_and_withdrawn(self) -> None:
+        here, there = Peer(), Peer()
+        here.slowness[HERE] = Slowness(2.5, 3)
+        here.accounts[9] = 1.25
+        here.reporters.set_peers({there.address})
+        assert wait_until(
+            lambda: there.heard.slowness.get(HERE) == Slowness(2.5, 3)
+        )
+        assert wait_until(lambda: there.heard.accounts.get(9) == 1.25)
+        here.slowness.clear()
+        here.accounts.clear()
+        assert wait_until(lambda: there.heard.slowness[HERE].samples == 0)
+        assert wait_until(lambda: there.heard.accounts[9] == 0)
+        here.close()
+        assert wait_until(lambda: there.heard.dropped == 1)
+        there.close()
+
     def test_reporter_connects_to_a_peer_that_starts_later(self) -> None:
         here = Peer()
         port = find_port()
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -13,7 +13,7 @@
 from toucancourse.errors import DECODE_ERRORS
 from toucancourse.forwarding.endpoints import EndpointRegistry
 from toucancourse.forwarding.messages import RawRequest
-from toucancourse.forwarding.objects import RouteKind
+from toucancourse.forwarding.objects import Load, RouteKind
 from toucancourse.forwarding.records import RolloutStatus
 from toucancourse.forwarding.tables import OperatorConfig
 from toucancourse.platform.messages import PlatformCodec
@@ -190,6 +190,26 @@
         assert 'X-Hop' not in dict(head.headers)
 
 
+class TestLoadReports:
+    """Endpoints on machines whose speed changes from moment to moment."""
+
+    @pytest.mark.parametrize(
+        ('text', 'load'),
+        [
+            ('3,1,8', Load(3, 1, 8, 1.0)),
+            ('3,1,8,250', Load(3, 1, 8, 2.5)),
+            ('3, 1, 8, 50', Load(3, 1, 8, 0.5)),
+            ('3,1,8,0', Load(3, 1, 8, 1.0)),
+            ('3,1,8,100,7,x', Load(3, 1, 8, 1.0)),
+            ('3,1', None),
+            ('3,1,8,x', None),
+        ],
+    )
+    def test_known_figures_count(self, text: str, load: Load | None) -> None:
+        head = PlatformCodec().decode_head(200, (('X-Server-Load', text),))
+        assert head.load == load
+
+
 class TestOddHeaders:
     """Numbers in headers that make no sense neither count nor do harm."""
 
