--- a/src/toucancourse/interfaces/restarts.py
+++ b/src/toucancourse/interfaces/restarts.py
@@ -29,7 +29,8 @@
 
     The identifier is the request's own, and stands in each such head.
     """
-    if not identifier:
+    # The pattern is compiled for each request, so hardly ever.
+    if not identifier or not STATUS_LINE.search(body):
         return False
     own = re.escape(identifier.encode('latin-1', 'replace'))
     header = re.compile(rb'\n[^\s:]+:[ \t]*%b[ \t]*(?:[\r\n]|\Z)' % own)
