--- a/src/toucancourse/forwarding/loads.py
+++ b/src/toucancourse/forwarding/loads.py
@@ -14,6 +14,8 @@
 #: Share of the other entries that must be reporting; with fewer, the load
 #: that endpoints report themselves is more accurate.
 MIN_REPORTING_SHARE: Final = 0.6
+#: Prefill time below which a sum is taken for 0: reports have milliseconds.
+MIN_PREFILL_SECONDS: Final = 0.0005
 
 
 class Workload(NamedTuple):
@@ -34,6 +36,23 @@
             tuple(left + right for left, right in pairs),
         )
 
+    def replace(self, before: 'Workload', after: 'Workload') -> 'Workload':
+        """Return this sum with one of its parts changed."""
+        seconds = [
+            total - old + new
+            for total, old, new in zip_longest(
+                self.prefill_seconds,
+                before.prefill_seconds,
+                after.prefill_seconds,
+                fillvalue=0.0,
+            )
+        ]
+        while seconds and seconds[-1] < MIN_PREFILL_SECONDS:
+            seconds.pop()
+        return Workload(
+            self.running - before.running + after.running, tuple(seconds)
+        )
+
 
 NO_WORKLOAD: Final = Workload(0, ())
 
@@ -71,11 +90,14 @@
             if known is None or known.stream is not stream:
                 self._remove(instance)
                 known = _PeerReport(stream, 0, {})
+            for digest, workload in changed.items():
+                before = known.workloads.get(digest, NO_WORKLOAD)
+                total = self._totals.get(digest, NO_WORKLOAD)
+                self._totals[digest] = total.replace(before, workload)
             known.workloads.update(changed)
             self._reports[instance] = known._replace(
                 received_at=time.monotonic()
             )
-            self._update_totals(changed)
 
     def drop(self, instance: str, stream: object) -> None:
         """Remove an entry whose stream ended, unless it opened another."""
--- a/src/toucancourse/forwarding/reporting.py
+++ b/src/toucancourse/forwarding/reporting.py
@@ -1,10 +1,9 @@
 """Streams on which entries report their workloads to each other."""
 
 import threading
-import time
 from collections.abc import Callable, Iterator, Mapping, Sequence
 from concurrent.futures import ThreadPoolExecutor
-from typing import Final, TypeVar
+from typing import Final, NamedTuple, TypeVar
 
 import grpc
 from loguru import logger
@@ -19,6 +18,9 @@
 #: Pause between two reports, in seconds: prefill takes longer, and shorter
 #: pauses cost more in traffic between zones than they save in latency.
 REPORT_INTERVAL_SECONDS: Final = 0.1
+#: Number of other entries from which the pause grows with them: each report
+#: received takes processor time, which small instances lack.
+FULL_RATE_PEERS: Final = 8
 #: Pause after which an empty report is sent if nothing changed.
 EMPTY_REPORT_SECONDS: Final = STALE_SECONDS / 2
 #: Pause before a broken stream is reopened.
@@ -92,11 +94,71 @@
         return peer_pb2.LoadEnd()
 
 
+class _Snapshot(NamedTuple):
+    """This entry's state at one time, and what changed since the one before."""
+
+    number: int
+    state: LocalState
+    changes: peer_pb2.LoadReport
+
+
+class StateSource:
+    """Collects this entry's state once for the streams to all entries."""
+
+    def __init__(
+        self, collect: CollectState, count_peers: Callable[[], int]
+    ) -> None:
+        """Create a source without state; count_peers counts the streams."""
+        self._collect = collect
+        self._count_peers = count_peers
+        self._changed = threading.Condition()
+        self._stopped = threading.Event()
+        self.newest = _Snapshot(0, LocalState({}, {}), peer_pb2.LoadReport())
+
+    def run(self) -> None:
+        """Collect the state again and again, until stopped."""
+        while not self._stopped.wait(self.find_interval()):
+            self.collect()
+
+    def stop(self) -> None:
+        """Make run() return."""
+        self._stopped.set()
+
+    def find_interval(self) -> float:
+        """Return the seconds between two reports."""
+        crowding = self._count_peers() / FULL_RATE_PEERS
+        return REPORT_INTERVAL_SECONDS * max(1.0, crowding)
+
+    def collect(self) -> None:
+        """Collect the state, and wake the streams if it has changed."""
+        known = self.newest
+        state = self._collect()
+        changes = _find_changes(known.state, state)
+        if not any(changes):
+            return
+        with self._changed:
+            self.newest = _Snapshot(
+                known.number + 1, state, _encode('', changes)
+            )
+            self._changed.notify_all()
+
+    def wait_for_change(self, number: int, timeout: float) -> _Snapshot:
+        """Return the newest state once its number is another one.
+
+        Returns that with the same number after a timeout in seconds.
+        """
+        with self._changed:
+            self._changed.wait_for(
+                lambda: self.newest.number != number, timeout
+            )
+            return self.newest
+
+
 class LoadReporter:
     """Client that reports this entry's state to one other entry."""
 
     def __init__(
-        self, instance: str, address: str, collect: CollectState
+        self, instance: str, address: str, source: StateSource
     ) -> None:
         """Create a client of an entry at "host:port".
 
@@ -104,7 +166,7 @@
         """
         self._instance = instance
         self._address = address
-        self._collect = collect
+        self._source = source
         self._stopped = threading.Event()
         self._is_disconnected = False
 
@@ -126,21 +188,24 @@
         self._stopped.set()
 
     def _make_reports(self) -> Iterator[peer_pb2.LoadReport]:
-        reported = LocalState({}, {})
-        last = 0.0
+        sent = self._source.newest
+        yield _encode(
+            self._instance, _find_changes(LocalState({}, {}), sent.state)
+        )
         while not self._stopped.is_set():
-            state = self._collect()
-            changed = _find_changes(reported, state)
-            reported = state
-            now = time.monotonic()
-            if self._is_disconnected and last:
+            newest = self._source.wait_for_change(
+                sent.number, EMPTY_REPORT_SECONDS
+            )
+            if self._is_disconnected:
                 self._is_disconnected = False
                 logger.info('peer reconnected', peer=self._address)
-            if any(changed) or now - last >= EMPTY_REPORT_SECONDS:
-                name = '' if last else self._instance
-                yield _encode(name, changed)
-                last = now
-            self._stopped.wait(REPORT_INTERVAL_SECONDS)
+            if newest.number == sent.number:
+                yield peer_pb2.LoadReport()
+            elif newest.number == sent.number + 1:
+                yield newest.changes
+            else:
+                yield _encode('', _find_changes(sent.state, newest.state))
+            sent = newest
 
     def _record_disconnect(self, error: grpc.RpcError) -> None:
         if not self._is_disconnected:
@@ -163,7 +228,7 @@
     ) -> None:
         """Create them without peers; instance is the name of this entry."""
         self._instance = instance
-        self._collect = collect
+        self._source = StateSource(collect, self.count)
         self._servicer = servicer
         #: Address -> client.
         self._reporters: dict[str, LoadReporter] = {}
@@ -185,10 +250,14 @@
         peer_pb2_grpc.add_TopicsServicer_to_server(topics, server)
         server.add_insecure_port(address)
         server.start()
+        threading.Thread(
+            target=self._source.run, name='peer states', daemon=True
+        ).start()
 
     def close(self) -> None:
         """End all streams and the server."""
         self.set_peers(set())
+        self._source.stop()
         if self._server is not None:
             self._server.stop(None)
 
@@ -205,7 +274,7 @@
         for address in self._reporters.keys() - peers:
             self._reporters.pop(address).stop()
         for address in peers - self._reporters.keys():
-            reporter = LoadReporter(self._instance, address, self._collect)
+            reporter = LoadReporter(self._instance, address, self._source)
             self._reporters[address] = reporter
             threading.Thread(
                 target=reporter.run, name=f'peer {address}', daemon=True
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -16,10 +16,13 @@
 from toucancourse.forwarding.peerstates import Slowness, StateListener
 from toucancourse.forwarding.prefill import PrefillEstimator
 from toucancourse.forwarding.reporting import (
+    EMPTY_REPORT_SECONDS,
     MAX_PEERS,
+    REPORT_INTERVAL_SECONDS,
     LoadReporters,
     LoadServicer,
     LocalState,
+    StateSource,
 )
 from toucancourse.forwarding.selection import (
     EndpointSelector,
@@ -119,6 +122,31 @@
             assert scored is not None
             assert scored.endpoint is endpoints[1]
 
+    def test_sums_follow_each_report_and_end_empty(self) -> None:
+        """Requests of three entries begin and end in any order."""
+        loads = make_loads()
+        steps = (
+            Workload(2, (0.5, 0.25)),
+            Workload(1, (0.1,)),
+            Workload(4, (0.0, 0.3, 0.7)),
+            NO_WORKLOAD,
+        )
+        for step in range(len(steps) + 2):
+            expected = NO_WORKLOAD
+            for row, name in enumerate(('b', 'c', 'd')):
+                workload = steps[min(len(steps) - 1, max(0, step - row))]
+                loads.update(name, name, {HERE: workload})
+                expected = expected.add(workload)
+            found = loads.find('i-1')
+            assert found is not None
+            assert found.running == expected.running
+            rest = (0.0,) * (3 - len(found.prefill_seconds))
+            due = expected.prefill_seconds
+            assert (*found.prefill_seconds, *rest) == pytest.approx(
+                (*due, *(0.0,) * (3 - len(due)))
+            )
+        assert loads.find('i-1') == NO_WORKLOAD
+
     def test_entries_that_report_balance_the_load(self) -> None:
         """Four entries send long requests to ten endpoints, and none ends."""
         names = [f'i-{row}' for row in range(10)]
@@ -157,12 +185,17 @@
 
     def __init__(self) -> None:
         """Create it without reports."""
+        self.running: dict[int, int] = {}
         self.slowness: dict[int, Slowness] = {}
         self.accounts: dict[int, float] = {}
         self.dropped = 0
 
     def update(self, instance: str, stream: object, state: LocalState) -> None:
         """Record what a report has."""
+        self.running.update(
+            (digest, workload.running)
+            for digest, workload in state.workloads.items()
+        )
         self.slowness.update(state.slowness)
         self.accounts.update(state.accounts)
 
@@ -201,6 +234,11 @@
         self.reporters.close()
 
 
+def make_state() -> LocalState:
+    """Return a state without workloads and sessions."""
+    return LocalState({}, {})
+
+
 def wait_until(condition: Callable[[], bool]) -> bool:
     """Return True once a condition is true, or False if it stays false."""
     end = time.monotonic() + TIMEOUT_SECONDS
@@ -268,6 +306,45 @@
         here.close()
         late.close()
 
+    def test_state_is_collected_once_for_all_peers(self) -> None:
+        """Small instances in a large fleet: collecting takes their time."""
+        collected: list[float] = []
+        state = LocalState({HERE: BUSY}, {})
+
+        def collect() -> LocalState:
+            collected.append(time.monotonic())
+            return state
+
+        source = StateSource(collect, lambda: 20)
+        source.collect()
+        first = source.newest
+        assert source.wait_for_change(0, 0) is first
+        assert source.wait_for_change(first.number, 0) is first
+        source.collect()
+        assert source.newest is first
+        assert len(collected) == 2
+
+    def test_reports_are_rarer_in_large_fleets(self) -> None:
+        interval = StateSource(make_state, lambda: 8).find_interval()
+        assert interval == REPORT_INTERVAL_SECONDS
+        assert StateSource(make_state, lambda: 3).find_interval() == interval
+        longer = StateSource(make_state, lambda: 20).find_interval()
+        assert longer == pytest.approx(2.5 * interval)
+        assert longer < EMPTY_REPORT_SECONDS
+
+    def test_stream_that_missed_states_gets_all_changes(self) -> None:
+        """A peer whose link is slow while others keep up."""
+        here, there = Peer(), Peer()
+        here.reporters.set_peers({there.address})
+        for row in range(20):
+            here.workloads[row] = Workload(row + 1, ())
+            time.sleep(0.01)
+        assert wait_until(
+            lambda: there.heard.running == {row: row + 1 for row in range(20)}
+        )
+        here.close()
+        there.close()
+
     def test_large_fleets_do_not_report(self) -> None:
         here = Peer()
         here.reporters.set_peers(
