--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -70,6 +70,9 @@
 #: Pause between reads of the endpoints' topic, so that one read returns the
 #: records of many; a draining endpoint must be avoided within two seconds.
 ENDPOINT_PAUSE_SECONDS: Final = 1.0
+#: The same for the statuses' topic: entries register and report on roll-outs
+#: at the same time, and each record would end the long polls of all others.
+STATUS_PAUSE_SECONDS: Final = 0.25
 #: Topic -> how often an entry reads it for itself.
 TIMINGS: Final = {
     names.OPERATOR_TOPIC: PollTiming(
@@ -78,7 +81,9 @@
     names.ENDPOINT_TOPIC: PollTiming(
         ENDPOINT_POLL_SECONDS, ENDPOINT_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
     ),
-    names.STATUS_TOPIC: PollTiming(STATUS_POLL_SECONDS, 0, MAX_BACKOFF_SECONDS),
+    names.STATUS_TOPIC: PollTiming(
+        STATUS_POLL_SECONDS, STATUS_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
+    ),
 }
 #: The same for an entry that reads for others, to whom its freshness proof is
 #: only good for a second.
@@ -91,7 +96,9 @@
     names.ENDPOINT_TOPIC: PollTiming(
         READER_POLL_SECONDS, READER_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
     ),
-    names.STATUS_TOPIC: PollTiming(READER_POLL_SECONDS, 0, MAX_BACKOFF_SECONDS),
+    names.STATUS_TOPIC: PollTiming(
+        READER_POLL_SECONDS, READER_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
+    ),
 }
 #: Time from failing readiness to closing idle connections. The load balancer
 #: probes once a second and removes the entry after two failures; later requests
@@ -167,6 +174,7 @@
             decoder,
             self._status_feed,
             self._shifts,
+            self._entries.count,
         )
         self._lost_writer = LostRecordWriter(self._status_topic)
         self._budgets: dict[str, WindowBudget] = defaultdict(self._make_budget)
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -3,7 +3,7 @@
 import threading
 import time
 from collections import OrderedDict
-from collections.abc import Collection, Iterable
+from collections.abc import Callable, Collection, Iterable
 from enum import StrEnum
 from typing import Final, NamedTuple
 
@@ -52,6 +52,9 @@
 SHIFTED_SLOW_RATIO: Final = 4.0
 #: Shortest time between two reports of one entry.
 REPORT_INTERVAL_SECONDS: Final = 1.5
+#: Most reports of all entries together, per second: each is a call to the
+#: store, and entries of larger fleets observe fewer responses each.
+MAX_REPORTS_PER_SECOND: Final = 8.0
 #: Pause after a write that the store refused or did not answer, in seconds:
 #: each call is billed, and this entry sends a bad version no requests anyway.
 WRITE_RETRY_SECONDS: Final = 1.0
@@ -316,6 +319,11 @@
         return version
 
 
+def _count_one() -> int:
+    """Return the number of entries of a fleet that has only one."""
+    return 1
+
+
 class RolloutController:
     """Writes decisions on roll-outs; the first one written is final."""
 
@@ -327,8 +335,10 @@
         decoder: Decoder,
         feed: Feed,
         shifts: ShiftRegistry,
+        count_entries: Callable[[], int] = _count_one,
     ) -> None:
         """Create a controller; check() must be called periodically."""
+        self._count_entries = count_entries
         self._shifts = shifts
         self._rollouts = rollouts
         self._operators = operators
@@ -357,6 +367,13 @@
             elif not self._publish_shift(timed):
                 self._publish_report(timed)
 
+    def find_report_interval(self) -> float:
+        """Return the shortest time in seconds between two reports."""
+        return max(
+            REPORT_INTERVAL_SECONDS,
+            self._count_entries() / MAX_REPORTS_PER_SECOND,
+        )
+
     def _decide(self, timed: TimedOrder) -> RolloutState | None:
         order = timed.order
         progress = self._rollouts.find_progress(timed)
@@ -385,7 +402,7 @@
         now = read_clock()
         if (
             report.canary == known.canary
-            or now - reported_at < REPORT_INTERVAL_SECONDS
+            or now - reported_at < self.find_report_interval()
         ):
             return
         self._reported[order.service] = (report, now)
--- a/src/toucancourse/membership/feeds.py
+++ b/src/toucancourse/membership/feeds.py
@@ -53,7 +53,7 @@
 
     #: Timeout of one long poll; each response renews the freshness proof.
     wait_seconds: float
-    #: Pause between reads, so that one read returns many records.
+    #: Pause after a read that returned records, so that the next returns many.
     pause_seconds: float
     #: Longest pause after a failed call.
     max_backoff_seconds: float = 0.4
@@ -88,8 +88,8 @@
         self._digests: dict[str, int] = {}
         self._stop = threading.Event()
         self._is_down = False
-        #: True if the last page came from another entry.
-        self._is_shared = False
+        #: True if the last page came from the store and had records.
+        self._needs_pause = False
         #: Source of pages -> recoveries of the store that it had seen.
         self._recoveries: dict[str, int] = {}
         #: Set once all records up to the topic's end were applied.
@@ -110,7 +110,7 @@
                 delay = min(self.timing.max_backoff_seconds, delay * 2)
                 continue
             delay = INITIAL_BACKOFF_SECONDS
-            if self.timing.pause_seconds and not self._is_shared:
+            if self.timing.pause_seconds and self._needs_pause:
                 self._stop.wait(self.timing.pause_seconds)
 
     def stop(self) -> None:
@@ -226,7 +226,7 @@
         self._apply_records(records)
 
     def _record_success(self, page: Records) -> None:
-        self._is_shared = bool(page.source)
+        self._needs_pause = bool(page.records) and not page.source
         known = self._recoveries.get(page.source, page.recoveries)
         self._recoveries[page.source] = page.recoveries
         if self._is_down:
--- a/tests/test_feeds.py
+++ b/tests/test_feeds.py
@@ -1,6 +1,7 @@
 """Unit tests of feeds: gaps, outages, compaction and freshness proofs."""
 
 import threading
+import time
 from collections.abc import Callable, Iterator, Mapping
 from typing import Any
 
@@ -81,6 +82,34 @@
     keyed_store.close()
 
 
+class CountedTopic(Topic):
+    """Counts the reads of another topic."""
+
+    def __init__(self, topic: Topic) -> None:
+        """Wrap a topic."""
+        self._topic = topic
+        self.reads = 0
+
+    def fetch_newest(self) -> Records:
+        """Return the newest record of each key."""
+        return self._topic.fetch_newest()
+
+    def read(self, start: int, wait_seconds: float) -> Records:
+        """Count a read, and return its records."""
+        self.reads += 1
+        return self._topic.read(start, wait_seconds)
+
+    def append(
+        self, key: str, content: bytes | None, at: int | None = None
+    ) -> bool:
+        """Append a record."""
+        return self._topic.append(key, content, at)
+
+    def append_all(self, changes: Mapping[str, bytes | None], at: int) -> bool:
+        """Append records."""
+        return self._topic.append_all(changes, at)
+
+
 @pytest.fixture
 def follow(
     store: KeyedStore,
@@ -273,6 +302,35 @@
         assert not registry.list_service('desk')
 
 
+class TestPauses:
+    """Many entries register at the same time; each read is billed."""
+
+    def test_records_that_come_one_by_one_are_read_together(
+        self, store: KeyedStore
+    ) -> None:
+        table = TableListener()
+        topic = CountedTopic(StoreTopic(store.address, 'keyed.status'))
+        feed = Feed('test', topic, table, PollTiming(2.0, 0.4))
+        threading.Thread(target=feed.run, daemon=True).start()
+        wait_until(feed.caught_up.is_set, 2, 'first read')
+        for row in range(40):
+            store.put('keyed.status', f'entry/{row}', b'-')
+            time.sleep(0.01)
+        wait_until(lambda: len(table.contents) == 40, 5, 'all records')
+        feed.stop()
+        # A read for each record without the pause.
+        assert topic.reads < 20
+
+    def test_no_pause_follows_an_empty_page(self) -> None:
+        """A pause would only make the proof of freshness older."""
+        page = Records((), 0)
+        feed = Feed(
+            'test', ScriptedTopic(page, page), TableListener(), PollTiming(0, 9)
+        )
+        feed._poll_once()
+        assert not feed._needs_pause
+
+
 class TestLongPolls:
     """An empty response proves freshness as of the end of the long poll."""
 
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -98,8 +98,10 @@
 class Entry:
     """One entry's view of a roll-out."""
 
-    def __init__(self, topic: Topic, name: str = 'entry-1') -> None:
-        """Create an entry that knows the roll-out order."""
+    def __init__(
+        self, topic: Topic, name: str = 'entry-1', entries: int = 1
+    ) -> None:
+        """Create one of some entries, which knows the roll-out order."""
         decoder = PlatformDecoder()
         self.operators = OperatorConfig(decoder)
         self.operators.apply('rollout/desk', ORDER)
@@ -118,6 +120,7 @@
             decoder,
             self.feed,
             self.shifts,
+            lambda: entries,
         )
 
     def step(self) -> None:
@@ -292,6 +295,16 @@
             clock.now += 0.25
         assert topic.appends <= 2 + 10 / module.REPORT_INTERVAL_SECONDS
 
+    @pytest.mark.parametrize(
+        ('entries', 'seconds'), [(1, 1.5), (12, 1.5), (24, 3.0), (48, 6.0)]
+    )
+    def test_reports_of_a_large_fleet_are_bounded_together(
+        self, entries: int, seconds: float
+    ) -> None:
+        """All entries of a fleet observe a version on trial."""
+        entry = Entry(SharedTopic(), entries=entries)
+        assert entry.controller.find_report_interval() == seconds
+
     @pytest.mark.parametrize(
         'content',
         [
