--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -23,7 +23,7 @@
 from ..forwarding.prefill import PrefillEstimator
 from ..forwarding.quarantine import Quarantine
 from ..forwarding.relay import Relay
-from ..forwarding.rollouts import RolloutController, Rollouts
+from ..forwarding.rollouts import RolloutController, Rollouts, Turns
 from ..forwarding.selection import COLD_RATE_SHARE, EndpointSelector
 from ..forwarding.shifts import ShiftRegistry
 from ..forwarding.shutdown import Shutdown
@@ -31,7 +31,11 @@
 from ..ingress.server import IngressLimits, IngressServer
 from ..membership.feeds import Feed, PollTiming
 from ..membership.restores import LostRecordWriter
-from ..membership.sharing import SharedTopic, TopicReader
+from ..membership.sharing import (
+    MAX_PROOF_AGE_SECONDS,
+    SharedTopic,
+    TopicReader,
+)
 from ..membership.startup import StartupBarrier
 from ..platform import names
 from ..platform.messages import PlatformCodec
@@ -70,13 +74,18 @@
 #: Pause between reads of the endpoints' topic, so that one read returns the
 #: records of many; a draining endpoint must be avoided within two seconds.
 ENDPOINT_PAUSE_SECONDS: Final = 1.0
+#: Pause between reads of the operators' topic: configurations may come in quick
+#: succession, and each would end the long polls of all that read it.
+OPERATOR_PAUSE_SECONDS: Final = 0.25
 #: The same for the statuses' topic: entries register and report on roll-outs
 #: at the same time, and each record would end the long polls of all others.
 STATUS_PAUSE_SECONDS: Final = 0.25
 #: Topic -> how often an entry reads it for itself.
 TIMINGS: Final = {
     names.OPERATOR_TOPIC: PollTiming(
-        OPERATOR_POLL_SECONDS, 0, MAX_OPERATOR_BACKOFF_SECONDS
+        OPERATOR_POLL_SECONDS,
+        OPERATOR_PAUSE_SECONDS,
+        MAX_OPERATOR_BACKOFF_SECONDS,
     ),
     names.ENDPOINT_TOPIC: PollTiming(
         ENDPOINT_POLL_SECONDS, ENDPOINT_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
@@ -89,17 +98,29 @@
 #: only good for a second.
 READER_POLL_SECONDS: Final = 0.5
 READER_PAUSE_SECONDS: Final = 0.4
+#: The same for the statuses' topic, with the age at which such a proof is too
+#: old: nothing there must be known within less than four seconds.
+STATUS_READER_POLL_SECONDS: Final = 1.0
+MAX_STATUS_PROOF_AGE_SECONDS: Final = 2.4
 READER_TIMINGS: Final = {
     names.OPERATOR_TOPIC: PollTiming(
-        READER_POLL_SECONDS, 0, MAX_OPERATOR_BACKOFF_SECONDS
+        READER_POLL_SECONDS,
+        OPERATOR_PAUSE_SECONDS,
+        MAX_OPERATOR_BACKOFF_SECONDS,
     ),
     names.ENDPOINT_TOPIC: PollTiming(
         READER_POLL_SECONDS, READER_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
     ),
     names.STATUS_TOPIC: PollTiming(
-        READER_POLL_SECONDS, READER_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
+        STATUS_READER_POLL_SECONDS, READER_PAUSE_SECONDS, MAX_BACKOFF_SECONDS
     ),
 }
+#: Topic -> age of another entry's proof from which the store is read instead.
+MAX_PROOF_AGES: Final = {
+    names.OPERATOR_TOPIC: MAX_PROOF_AGE_SECONDS,
+    names.ENDPOINT_TOPIC: MAX_PROOF_AGE_SECONDS,
+    names.STATUS_TOPIC: MAX_STATUS_PROOF_AGE_SECONDS,
+}
 #: Time from failing readiness to closing idle connections. The load balancer
 #: probes once a second and removes the entry after two failures; later requests
 #: come on keep-alive connections only, and might exceed the grace period.
@@ -174,7 +195,7 @@
             decoder,
             self._status_feed,
             self._shifts,
-            self._entries.count,
+            Turns(self._entries.count, self._entries.find_turn),
         )
         self._lost_writer = LostRecordWriter(self._status_topic)
         self._budgets: dict[str, WindowBudget] = defaultdict(self._make_budget)
@@ -293,7 +314,8 @@
     def _build_feeds(self) -> None:
         store = self._settings.store
         self._topics = {
-            name: SharedTopic(StoreTopic(store, name), name) for name in TIMINGS
+            name: SharedTopic(StoreTopic(store, name), name, max_proof_age)
+            for name, max_proof_age in MAX_PROOF_AGES.items()
         }
         self._operator_feed = Feed(
             'operators',
--- a/src/toucancourse/forwarding/peers.py
+++ b/src/toucancourse/forwarding/peers.py
@@ -118,6 +118,15 @@
         first = rank_by_hash(key, tuple(self._entries))[: int(limit)]
         return float(KEY_PREFIX + self._name in first)
 
+    def find_turn(self, key: str) -> int:
+        """Return this entry's place in the entries' order for a key.
+
+        Rendezvous hashing gives the same order at all entries; 0 is the first.
+        """
+        own_key = KEY_PREFIX + self._name
+        names = tuple(self._entries.keys() | {own_key})
+        return rank_by_hash(key, names).index(own_key)
+
     def is_registered(self) -> bool:
         """Return True if this entry's registration was read from the store."""
         return self._entries.get(KEY_PREFIX + self._name) == self._address
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -52,6 +52,10 @@
 SHIFTED_SLOW_RATIO: Final = 4.0
 #: Shortest time between two reports of one entry.
 REPORT_INTERVAL_SECONDS: Final = 1.5
+#: Time in which one entry after the other may publish a shift, and the number
+#: of those; all others have the next turn together.
+TURN_SECONDS: Final = 0.5
+MAX_TURNS: Final = 4
 #: Most reports of all entries together, per second: each is a call to the
 #: store, and entries of larger fleets observe fewer responses each.
 MAX_REPORTS_PER_SECOND: Final = 8.0
@@ -319,9 +323,18 @@
         return version
 
 
-def _count_one() -> int:
-    """Return the number of entries of a fleet that has only one."""
-    return 1
+class Turns(NamedTuple):
+    """In which order the entries of a fleet write what each could write."""
+
+    #: Returns the number of entries.
+    count_entries: Callable[[], int]
+    #: Key of what is written -> this entry's place in the order, 0 for the
+    #: first.
+    find_turn: Callable[[str], int]
+
+
+#: An entry that is alone.
+ALONE: Final = Turns(lambda: 1, lambda _: 0)
 
 
 class RolloutController:
@@ -335,10 +348,10 @@
         decoder: Decoder,
         feed: Feed,
         shifts: ShiftRegistry,
-        count_entries: Callable[[], int] = _count_one,
+        turns: Turns = ALONE,
     ) -> None:
         """Create a controller; check() must be called periodically."""
-        self._count_entries = count_entries
+        self._turns = turns
         self._shifts = shifts
         self._rollouts = rollouts
         self._operators = operators
@@ -347,6 +360,8 @@
         self._feed = feed
         #: read_clock() until which no record is written.
         self._paused_until = 0.0
+        #: Shift to publish -> read_clock() from which it is this entry's turn.
+        self._turn_times: dict[tuple[str, str, bool], float] = {}
         #: Service -> this entry's newest report, and read_clock() of it.
         self._reported: dict[str, tuple[CanaryReport, float]] = {}
 
@@ -371,7 +386,7 @@
         """Return the shortest time in seconds between two reports."""
         return max(
             REPORT_INTERVAL_SECONDS,
-            self._count_entries() / MAX_REPORTS_PER_SECOND,
+            self._turns.count_entries() / MAX_REPORTS_PER_SECOND,
         )
 
     def _decide(self, timed: TimedOrder) -> RolloutState | None:
@@ -425,12 +440,29 @@
         is_good = progress >= SHIFT_START and self._rollouts.is_good(order)
         known = self._shifts.find(order)
         if known is not None and (known.is_good or not is_good):
+            self._turn_times.pop((order.service, order.target, is_good), None)
             return False
+        if not self._is_own_turn(order, is_good):
+            return True
         began = time.time() - progress * max(1.0, order.duration)
         shift = TrafficShift(order.service, order.target, began, is_good)
         self._write(*encode_shift(shift))
         return True
 
+    def _is_own_turn(self, order: RolloutOrder, is_good: bool) -> bool:
+        """Return True once the entries whose turn is earlier had their time.
+
+        All want to publish a shift at the same moment, and the store bills
+        also those that are too late.
+        """
+        key = (order.service, order.target, is_good)
+        turn_time = self._turn_times.get(key)
+        if turn_time is None:
+            turn = self._turns.find_turn(f'{order.service}/{order.target}')
+            turn_time = read_clock() + min(turn, MAX_TURNS) * TURN_SECONDS
+            self._turn_times[key] = turn_time
+        return read_clock() >= turn_time
+
     def _write_state(self, timed: TimedOrder, state: RolloutState) -> None:
         order = timed.order
         status = RolloutStatus(order.service, str(state), order.target)
--- a/src/toucancourse/membership/sharing.py
+++ b/src/toucancourse/membership/sharing.py
@@ -35,10 +35,20 @@
 class SharedTopic(Topic):
     """Reads a topic at other entries, or at the store if they fail."""
 
-    def __init__(self, topic: Topic, name: str) -> None:
-        """Wrap the store's topic of a name."""
+    def __init__(
+        self,
+        topic: Topic,
+        name: str,
+        max_proof_age: float = MAX_PROOF_AGE_SECONDS,
+    ) -> None:
+        """Wrap the store's topic of a name.
+
+        max_proof_age is the age in seconds of another entry's freshness proof
+        from which the store is read instead.
+        """
         self._topic = topic
         self._name = name
+        self._max_proof_age = max_proof_age
         #: The entries to ask, the preferred one first.
         self.readers: Sequence[TopicReader] = ()
         #: Address -> time.monotonic() until which it isn't asked.
@@ -65,7 +75,7 @@
             if self._penalties.get(address, 0) > now:
                 continue
             page = reader.read(self._name, start, SHARED_WAIT_SECONDS)
-            if page is not None and _is_fresh(page) and page.era >= self._era:
+            if page is not None and self._is_usable(page):
                 return page
             self._penalties[address] = time.monotonic() + PENALTY_SECONDS
             logger.info(
@@ -88,7 +98,8 @@
         """Append records to the store if the topic ends at an offset."""
         return self._topic.append_all(changes, at)
 
-
-def _is_fresh(page: Records) -> bool:
-    age = page.proof_age
-    return age is not None and age <= MAX_PROOF_AGE_SECONDS
+    def _is_usable(self, page: Records) -> bool:
+        """Return True if a page is as new as the store's would be."""
+        age = page.proof_age
+        is_fresh = age is not None and age <= self._max_proof_age
+        return is_fresh and page.era >= self._era
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -27,6 +27,7 @@
     RolloutController,
     Rollouts,
     RolloutState,
+    Turns,
 )
 from toucancourse.forwarding.shifts import STALE_DURATIONS, ShiftRegistry
 from toucancourse.forwarding.tables import OperatorConfig, TimedOrder
@@ -95,11 +96,18 @@
         return True
 
 
+ENTRY_TURNS = tuple((row, 19 - row) for row in range(20))
+
+
 class Entry:
     """One entry's view of a roll-out."""
 
     def __init__(
-        self, topic: Topic, name: str = 'entry-1', entries: int = 1
+        self,
+        topic: Topic,
+        name: str = 'entry-1',
+        entries: int = 1,
+        turn: int = 0,
     ) -> None:
         """Create one of some entries, which knows the roll-out order."""
         decoder = PlatformDecoder()
@@ -120,7 +128,7 @@
             decoder,
             self.feed,
             self.shifts,
-            lambda: entries,
+            Turns(lambda: entries, lambda _: turn),
         )
 
     def step(self) -> None:
@@ -305,6 +313,36 @@
         entry = Entry(SharedTopic(), entries=entries)
         assert entry.controller.find_report_interval() == seconds
 
+    def test_one_entry_publishes_what_all_know(self, clock: Clock) -> None:
+        """Each of 20 entries sees a new order at the same moment."""
+        topic = SharedTopic()
+        fleet = [
+            Entry(topic, f'entry-{row}', 20, turn) for row, turn in ENTRY_TURNS
+        ]
+        for _ in range(8):
+            for entry in fleet:
+                entry.controller.check()
+            for entry in fleet:
+                entry.feed._poll_once()
+            clock.now += 0.25
+        assert topic.appends == 1
+
+    def test_next_entry_publishes_if_the_first_is_cut_off(
+        self, clock: Clock
+    ) -> None:
+        topic = SharedTopic()
+        second = Entry(topic, 'entry-2', 20, 1)
+        last = Entry(topic, 'entry-3', 20, 19)
+        for entry in (second, last):
+            entry.step()
+        assert topic.appends == 0
+        clock.now += module.TURN_SECONDS
+        second.step()
+        assert topic.appends == 1
+        clock.now += module.MAX_TURNS * module.TURN_SECONDS
+        last.step()
+        assert topic.appends == 1
+
     @pytest.mark.parametrize(
         'content',
         [
--- a/tests/test_shares.py
+++ b/tests/test_shares.py
@@ -259,3 +259,19 @@
 TestShareMachine.settings = settings(
     max_examples=60, stateful_step_count=30, deadline=None
 )
+
+
+class TestTurns:
+    """What all entries could write is written by one after the other."""
+
+    def test_entries_have_one_order(self) -> None:
+        names = [f'entry-{row}' for row in range(20)]
+        registries = [EntryRegistry(name, '127.0.0.1:1') for name in names]
+        for registry in registries:
+            for name in names:
+                registry.apply(f'entry/{name}', b'127.0.0.1:1')
+        turns = [registry.find_turn('desk/v2') for registry in registries]
+        assert sorted(turns) == list(range(20))
+
+    def test_entry_that_is_alone_is_first(self) -> None:
+        assert EntryRegistry('a', '127.0.0.1:1').find_turn('desk/v2') == 0
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -36,7 +36,7 @@
 from toucancourse.membership.topics import Record, Records
 from toucancourse.platform.store import StoreTopic
 
-from .test_feeds import ScriptedTopic, TableListener
+from .test_feeds import CountedTopic, ScriptedTopic, TableListener
 
 #: Time within which operators' changes and leaving endpoints must be known.
 APPLY_SECONDS = 2.0
@@ -182,6 +182,23 @@
         assert reader.reads == 1
         assert PENALTY_SECONDS > APPLY_SECONDS
 
+    @pytest.mark.parametrize(('max_age', 'reads'), [(1.2, 1), (2.4, 0)])
+    def test_age_of_a_proof_that_suffices(
+        self, max_age: float, reads: int
+    ) -> None:
+        """A reader that polls a topic once a second, as it does for calm ones.
+
+        Topics on which less depends may be older.
+        """
+        tail = TopicTail()
+        tail.publish((), 1, read_clock() - 2, 0, 0)
+        topic = SharedTopic(
+            CountedTopic(ScriptedTopic(Records((), 1))), 'keyed.op', max_age
+        )
+        topic.readers = (TailReader(tail),)
+        topic.read(1, 0)
+        assert topic._topic.reads == reads
+
     def test_store_turns_a_reader_away(self, fleet: SharingFleet) -> None:
         for feed in fleet.reader_feeds:
             feed.stop()
