--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -191,7 +191,7 @@
         Topics on which less depends may be older.
         """
         tail = TopicTail()
-        tail.publish((), 1, read_clock() - 2, 0, 0)
+        tail.publish((), 1, read_clock() - 1.5, 0, 0)
         topic = SharedTopic(
             CountedTopic(ScriptedTopic(Records((), 1))), 'keyed.op', max_age
         )
