--- a/bench/soak.py
+++ b/bench/soak.py
@@ -57,8 +57,9 @@
 #: What a seed injects: 'mixed' faults everywhere, faults of 'endpoints' only,
 #: these beside their 'crashes' or 'restarts' of entries, planned 'stops' of
 #: entries only, 'kills' of all entries while all endpoints fail, 'stutters' of
-#: endpoints that break answers off and send them once more, or 'restores' of
-#: the store from older copies.
+#: endpoints that break answers off and send them once more, 'restores' of the
+#: store from older copies, or 'overload': slow endpoints, an account that sends
+#: many times its usual, and entries that lag.
 SCENARIOS: Final = (
     'mixed',
     'endpoints',
@@ -68,18 +69,19 @@
     'kills',
     'stutters',
     'restores',
+    'overload',
 )
 #: Scenarios in which entries are calm, and those in which the retries at
 #: endpoints are compared with the budget.
 CALM_SCENARIOS: Final = frozenset(
-    ('endpoints', 'crashes', 'stutters', 'restores')
+    ('endpoints', 'crashes', 'stutters', 'restores', 'overload')
 )
 BUDGET_SCENARIOS: Final = frozenset(
     ('endpoints', 'crashes', 'restarts', 'kills', 'stutters')
 )
 #: Scenarios that do not draw from all faults of responses.
 CHOSEN_FAULT_SCENARIOS: Final = frozenset(
-    ('stops', 'kills', 'stutters', 'restores')
+    ('stops', 'kills', 'stutters', 'restores', 'overload')
 )
 #: Longest time that the store is away, and after which operators and endpoints
 #: write again what it lost.
@@ -102,6 +104,13 @@
 STUTTER_BREAK_OFF_BYTES: Final = 1300
 #: Range of the pause of an endpoint that stutters late.
 STUTTER_SECONDS: Final = (0.02, 0.3)
+#: Callers of the account in excess, which pause for no longer than this.
+EXCESS_CALLERS: Final = 18
+EXCESS_PAUSE_SECONDS: Final = 0.002
+#: Times that an endpoint takes for a request, and for which an entry stands
+#: still, in an overload.
+OVERLOAD_WORK_SECONDS: Final = (0.0, 0.05, 0.4, 1.5)
+LAG_SECONDS: Final = (0.05, 0.6)
 #: Pause between kills of all entries, and between requests of a caller then:
 #: with few requests, most of the budget is its fixed part.
 KILL_PAUSE_SECONDS: Final = 2.2
@@ -393,11 +402,14 @@
         host, port = self._fleet.get_entry_address(number % ENTRY_COUNT)
         connection = HTTPConnection(host, port, timeout=6)
         kinds, pause = ('book', 'look', 'draft'), CALLER_PAUSE_SECONDS
+        keys = API_KEYS
         if self._fleet.scenario == 'kills':
             kinds, pause = ('look',), FEW_REQUESTS_PAUSE_SECONDS
+        if number >= CALLER_COUNT:
+            keys, pause = API_KEYS[1:], EXCESS_PAUSE_SECONDS
         while not self.stop.is_set():
             kind = rng.choice(kinds)
-            key = rng.choice(API_KEYS)
+            key = rng.choice(keys)
             self.responses.append(send(connection, kind, key))
             time.sleep(rng.uniform(0, 2 * pause))
 
@@ -504,6 +516,19 @@
         for replica in fleet.replicas:
             fleet.register_endpoint(replica)
 
+    def slow_endpoint() -> None:
+        replica = rng.choice(fleet.replicas)
+        replica.work_seconds = rng.choice(OVERLOAD_WORK_SECONDS)
+
+    def lag_entry() -> None:
+        entry = rng.choice(fleet.entries)
+        entry.send_signal(signal.SIGSTOP)
+        threading.Timer(
+            rng.uniform(*LAG_SECONDS), resume_entry, (entry,)
+        ).start()
+
+    if fleet.scenario == 'overload':
+        return [slow_endpoint, lag_entry]
     if fleet.scenario == 'restores':
         return [restore_store]
     if fleet.scenario == 'stutters':
@@ -716,7 +741,10 @@
 
 
 def _run_with_faults(fleet: SoakFleet, folder: Path, seed: int) -> list[str]:
-    callers = Callers(fleet)
+    is_overload = fleet.scenario == 'overload'
+    callers = Callers(
+        fleet, CALLER_COUNT + (EXCESS_CALLERS if is_overload else 0)
+    )
     faults = list_faults(fleet)
     is_kills = fleet.scenario == 'kills'
     end = time.monotonic() + (KILLS_SECONDS if is_kills else FAULT_SECONDS)
@@ -741,9 +769,8 @@
         wait_until(fleet.ensure_ready, RECOVERY_TIMEOUT_SECONDS, 'recovery')
     except TimeoutError as error:
         violations.append(str(error))
-    is_served = any(response.status == 200 for response in responses)
-    if not is_served and not is_kills:
-        violations.append('no request succeeded')
+    if not is_kills:
+        violations.extend(_list_unserved(fleet, responses))
     if violations:
         report = Path(f'soak-{seed}.log')
         logs = [path.read_text() for path in sorted(folder.glob('*.log'))]
@@ -751,6 +778,23 @@
     return violations
 
 
+def _list_unserved(
+    fleet: SoakFleet, responses: list[CallerResponse]
+) -> list[str]:
+    """Return a line for each account of whose requests none succeeded.
+
+    Not for one whose key was revoked.
+    """
+    served = {
+        response.api_key for response in responses if response.status == 200
+    }
+    is_revoked = fleet.revoked_at < float('inf')
+    keys = API_KEYS[:1] if is_revoked else API_KEYS
+    return [
+        f'no request with {key} succeeded' for key in keys if key not in served
+    ]
+
+
 def _check_restored(fleet: SoakFleet) -> list[str]:
     """Check that a change applies, and that all entries are registered."""
     fleet.revoke_key()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -18,6 +18,7 @@
     ('kills', 1),
     ('stutters', 3501),
     ('restores', 4001),
+    ('overload', 4201),
 )
 
 
