--- a/src/toucancourse/delivery/attempts.py
+++ b/src/toucancourse/delivery/attempts.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections.abc import Callable
+from typing import Final
 
 from ..errors import (
     CourseError,
@@ -12,6 +13,8 @@
 )
 from ..protocol import peer_pb2
 
+#: First digits of the statuses that end an HTTP exchange.
+FINAL_CLASSES: Final = range(2, 6)
 Writer = Callable[[bytes], object]
 
 
@@ -173,7 +176,13 @@
     def _receive_head_or_end(self, frame: peer_pb2.Frame) -> None:
         with self._changed:
             if frame.HasField('head'):
-                self.head = frame.head
+                self._receive_head(frame.head)
             if frame.HasField('end'):
                 self.end = frame.end
             self._changed.notify_all()
+
+    def _receive_head(self, head: peer_pb2.Head) -> None:
+        if head.status // 100 in FINAL_CLASSES:
+            self.head = head
+            return
+        self.fail(EndpointError(f'the endpoint sent status {head.status}'))
--- a/src/toucancourse/delivery/endpoint.py
+++ b/src/toucancourse/delivery/endpoint.py
@@ -3,12 +3,12 @@
 import json
 import socket
 from collections.abc import Iterator
-from http.client import HTTPException, HTTPResponse
+from http.client import HTTPException
 from typing import Any, Final, NamedTuple
 from urllib.parse import urlsplit
 
 from ..errors import EndpointError, UnavailableError, UnknownOutcomeError
-from ..interfaces.responses import CheckedConnection
+from ..interfaces.responses import CheckedConnection, CheckedResponse
 from ..interfaces.restarts import holds_status_line, may_hold_response
 from ..protocol import peer_pb2
 
@@ -41,7 +41,10 @@
         self._connection = CheckedConnection(
             parts.hostname or '', parts.port, timeout=timeout
         )
-        self._response: HTTPResponse | None = None
+        # The connection drops its socket if the response will end with it.
+        self._sock: socket.socket | None = None
+        self._response: CheckedResponse | None = None
+        self._is_aborted = False
         #: Last byte of the body, or b'' if only the end of the headers is
         #: unsent.
         self._unsent = b''
@@ -57,8 +60,8 @@
             raise UnavailableError(
                 f'connecting to the endpoint failed: {error}'
             ) from error
-        sock = self._connection.sock
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        self._sock = self._connection.sock
+        self._sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
 
     def start_request(
         self,
@@ -70,7 +73,8 @@
         """Send the request except its last part.
 
         An endpoint does not run a request that it received only in part, so a
-        failure here is safe to retry. Raises UnavailableError.
+        failure here is safe to retry. Raises UnavailableError, or
+        UnknownOutcomeError if the endpoint has answered already.
         """
         connection = self._connection
         try:
@@ -82,6 +86,8 @@
             if body:
                 connection.endheaders(body[:-1] or None)
         except (OSError, HTTPException) as error:
+            if connection.peek_unread():
+                raise _make_lost_error(error) from error
             raise UnavailableError(
                 f'sending the request to the endpoint failed: {error}'
             ) from error
@@ -119,7 +125,8 @@
     def read_chunks(self) -> Iterator[bytes]:
         """Yield the response body as it arrives.
 
-        Raises EndpointError if the connection breaks before its end.
+        Raises EndpointError if the connection breaks before its end, or if
+        only an abort ended it.
         """
         assert self._response is not None
         while True:
@@ -130,8 +137,10 @@
                     f"the endpoint's response was interrupted: {error}"
                 ) from error
             if not data:
-                return
+                break
             yield data
+        if self._is_aborted and self._response.ends_with_connection():
+            raise EndpointError('the request was cancelled')
 
     def read_body(self) -> bytes:
         """Return the whole response body.
@@ -150,11 +159,11 @@
 
     def abort(self) -> None:
         """Shut the socket down; another thread may be using the call."""
-        sock = self._connection.sock
-        if sock is None:
+        self._is_aborted = True
+        if self._sock is None:
             return
         try:
-            sock.shutdown(socket.SHUT_RDWR)
+            self._sock.shutdown(socket.SHUT_RDWR)
         except OSError:
             return
 
--- a/src/toucancourse/delivery/responses.py
+++ b/src/toucancourse/delivery/responses.py
@@ -2,14 +2,18 @@
 
 import json
 from collections.abc import Callable, Iterator
-from http import HTTPStatus
 from typing import Final
 
 from loguru import logger
 
 from ..billing.ledger import SpendHold
 from ..errors import CourseError, EndpointError
-from ..web.messages import Response, make_error_body, send
+from ..web.messages import (
+    Response,
+    make_error_body,
+    make_status_line,
+    send,
+)
 from ..web.server import is_disconnected
 from ..web.writers import make_writer
 from . import conversations
@@ -88,7 +92,7 @@
         head = routed.attempt.head
         assert head is not None
         write = exchange.start_response(
-            f'{head.status} {HTTPStatus(head.status).phrase}',
+            make_status_line(head.status),
             [
                 ('Content-Type', head.content_type),
                 ('Cache-Control', 'no-cache'),
--- a/src/toucancourse/forwarding/connections.py
+++ b/src/toucancourse/forwarding/connections.py
@@ -10,14 +10,10 @@
 from loguru import logger
 
 from ..errors import CourseError, EndpointError, Outcome, ResponseDefect
-from ..interfaces.responses import (
-    CheckedResponse,
-    SocketReader,
-    find_body_defect,
-    find_head_defect,
-)
+from ..interfaces.responses import find_body_defect, find_head_defect
 from ..interfaces.restarts import holds_response, holds_status_line
 from .buffers import PieceBuffer, ResponseBuffers
+from .deadlines import EndpointResponse
 from .messages import Codec
 from .objects import (
     AttemptOptions,
@@ -72,49 +68,6 @@
     expires_at: float
 
 
-class _DeadlineReader(SocketReader):
-    """Reads a socket until a time, however its bytes are spread.
-
-    A socket's own timeout starts anew with each byte.
-    """
-
-    def __init__(self, sock: socket.socket, raw: socket.SocketIO) -> None:
-        """Wrap the reader that http.client made of a socket."""
-        super().__init__(raw)
-        self._sock = sock
-        # The exchange sets the socket's timeout before it reads the head.
-        timeout = sock.gettimeout() or 0.0
-        #: time.monotonic() from which reads raise TimeoutError.
-        self.until = time.monotonic() + timeout
-
-    def readinto(self, buffer: Any, /) -> int | None:
-        """Read into a buffer and return the number of bytes.
-
-        Raises TimeoutError.
-        """
-        remaining = self.until - time.monotonic()
-        if remaining <= 0:
-            raise TimeoutError
-        self._sock.settimeout(remaining)
-        return super().readinto(buffer)
-
-
-class _EndpointResponse(CheckedResponse):
-    """Bounds the time of its reads and detects data after the response."""
-
-    _raw: _DeadlineReader
-
-    def set_deadline(self, until: float) -> None:
-        """Make reads fail from a time.monotonic() on."""
-        self._raw.until = until
-
-    def _wrap_socket(
-        self, sock: socket.socket, raw: socket.SocketIO
-    ) -> _DeadlineReader:
-        """Return a reader whose reads end at the deadline."""
-        return _DeadlineReader(sock, raw)
-
-
 class Exchange:
     """One HTTP request to an endpoint and its response."""
 
@@ -138,7 +91,9 @@
         self._buffers = buffers
         #: Bytes of the response that are held in memory.
         self._held = 0
-        self._response: _EndpointResponse | None = None
+        self._response: EndpointResponse | None = None
+        #: True once the whole request was given to the connection.
+        self._is_sent = False
         self._cancelled = False
         self.is_complete = False
         self.head: ResponseHead | None = None
@@ -164,6 +119,7 @@
             if call.body or call.method not in {'GET', 'HEAD', 'DELETE'}:
                 connection.putheader('Content-Length', str(len(call.body)))
             connection.endheaders(call.body or None)
+            self._is_sent = True
         except TimeoutError as error:
             raise SilentError('timeout sending the request') from error
         except OSError as error:
@@ -311,7 +267,7 @@
         self.is_complete = True
         return b''
 
-    def _read_next(self, response: _EndpointResponse, until: float) -> bytes:
+    def _read_next(self, response: EndpointResponse, until: float) -> bytes:
         """Return the next bytes of the body, b'' at its end at any time."""
         if response.isclosed():
             return b''
@@ -322,11 +278,7 @@
     def ends_with_connection(self) -> bool:
         """Return True if only the connection's end marks the body's end."""
         response = self._response
-        return (
-            response is not None
-            and not response.chunked
-            and response.length is None
-        )
+        return response is not None and response.ends_with_connection()
 
     def is_cancelled(self) -> bool:
         """Return True after cancel()."""
@@ -353,10 +305,11 @@
         self.hold(0)
         response = self._response
         is_reusable = self.is_complete and not self._cancelled
-        if response is None or not is_reusable:
+        if response is None or response.will_close or not is_reusable:
             self.close()
             return None
-        if response.will_close:
+        # The rest of the body would be filled with the next request.
+        if not self._is_sent:
             self.close()
             return None
         # Data that follow would be parsed as the response to the next request.
@@ -375,12 +328,13 @@
 
     def _make_response(
         self, sock: socket.socket, *args: Any, **kwargs: Any
-    ) -> _EndpointResponse:
+    ) -> EndpointResponse:
         """Return the response that getresponse() reads.
 
         It refers to the socket also if reading its head fails.
         """
-        self._response = _EndpointResponse(sock, *args, **kwargs)
+        self._response = EndpointResponse(sock, *args, **kwargs)
+        self._response.is_request_sent = self._is_sent
         return self._response
 
     def _set_timeout(self, until: float) -> None:
--- a/src/toucancourse/interfaces/responses.py
+++ b/src/toucancourse/interfaces/responses.py
@@ -6,6 +6,7 @@
 """
 
 import math
+import re
 import select
 import socket
 import time
@@ -15,6 +16,7 @@
 )
 from http import HTTPStatus
 from http.client import (
+    CONTINUE,
     HTTPConnection,
     HTTPException,
     HTTPResponse,
@@ -38,6 +40,8 @@
 #: Pause before data that go on are looked for again.
 RECHECK_SECONDS: Final = 0.002
 MS_PER_SECOND: Final = 1000.0
+#: Statuses of HTTP: three digits, from 100 to 599.
+STATUS: Final = re.compile('[1-5][0-9]{2}')
 
 _HEAD_DEFECTS: Final = (
     FirstHeaderLineIsContinuationDefect,
@@ -69,6 +73,12 @@
     defect = ResponseDefect.body_restarted
 
 
+class ResetBodyError(HTTPException):
+    """Nothing proves that a body without a length is whole."""
+
+    defect = ResponseDefect.body_truncated
+
+
 class InvalidChunkError(HTTPException):
     """The size or the end of a chunk is not valid."""
 
@@ -104,6 +114,10 @@
             self._lines.append(line)
         return line
 
+    def get_line(self) -> bytes:
+        """Return the newest line of the head."""
+        return self._lines[-1] if self._lines else b''
+
     def pop_lines(self) -> list[bytes]:
         """Return the lines so far, and keep none from now on."""
         lines, self._lines = self._lines or [], None
@@ -182,6 +196,8 @@
         self._reader = HeadReader(self._raw)
         self.fp = self._reader
         self._body_end = BodyEnd()
+        #: False if the connection took only a part of the request.
+        self.is_request_sent = True
 
     def begin(self) -> None:
         """Read the head and check it.
@@ -202,18 +218,23 @@
     def read1(self, n: int = -1) -> bytes:  # noqa: WPS111
         """Return the next bytes of the body, or b'' at its end.
 
-        Raises IncompleteRead if the body is shorter than its length, and
+        Raises IncompleteRead if the body is shorter than its length,
+        ResetBodyError if it has none and the connection did not end well, and
         RestartedBodyError if another response began in it.
         """
         content = super().read1(n)
-        if not content and n and self.length:
-            raise IncompleteRead(b'', self.length)
+        if not content and n:
+            if self.length:
+                raise IncompleteRead(b'', self.length)
+            self._check_end()
         self._check_restart(content)
         return content
 
     def read(self, amt: int | None = None) -> bytes:
         """Return bytes of the body; raises as read1() does."""
         content = super().read(amt)
+        if amt is None or (amt and not content):
+            self._check_end()
         self._check_restart(content)
         return content
 
@@ -222,6 +243,10 @@
         super().close()
         self._reader.close()
 
+    def ends_with_connection(self) -> bool:
+        """Return True if only the connection's end marks the body's end."""
+        return not self.chunked and self.length is None
+
     def peek_trailing(self) -> bytes | None:
         """Return received data that were not read, or b'' without any.
 
@@ -260,6 +285,20 @@
         """Return the reader of the response's socket."""
         return SocketReader(raw)
 
+    def _check_end(self) -> None:
+        """Raise ResetBodyError unless a body without a length ended well.
+
+        A reset that a write reported, or that followed the connection's end,
+        reads as an end.
+        """
+        if not self.ends_with_connection():
+            return
+        if not self.is_request_sent:
+            raise ResetBodyError('the connection broke within the request')
+        reason = self._sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if reason:
+            raise ResetBodyError(f'the connection was reset: {reason}')
+
     def _check_restart(self, content: bytes) -> None:
         """Raise RestartedBodyError if the body's end is another's beginning.
 
@@ -267,7 +306,7 @@
         began after it; the rest of that one follows. Without such a rest, the
         body may as well quote a status line.
         """
-        if self.chunked or self.length is None:
+        if self.chunked or self.ends_with_connection():
             return
         self._body_end.add(content)
         is_end = content and not self.length
@@ -339,6 +378,19 @@
             if not digits.isascii() or not digits.isdecimal():
                 raise InvalidHeadError(f'invalid length "{length}"')
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Return version, status and reason of a status line.
+
+        Interim responses are skipped by http.client if their status is 100.
+        Raises InvalidHeadError.
+        """
+        version, status, reason = super()._read_status()  # type: ignore[misc]
+        digits = str(self._reader.get_line(), 'iso-8859-1').split(None, 2)[1]
+        if not STATUS.fullmatch(digits):
+            raise InvalidHeadError(f'invalid status "{digits}"')
+        is_interim = HTTPStatus.SWITCHING_PROTOCOLS < status < HTTPStatus.OK
+        return version, CONTINUE if is_interim else status, reason
+
     def _read_next_chunk_size(self) -> int:
         """Return the next chunk's size.
 
--- a/src/toucancourse/web/messages.py
+++ b/src/toucancourse/web/messages.py
@@ -118,15 +118,16 @@
     return make_json_response(make_error_body(error), error.status, extra)
 
 
+def make_status_line(status: int) -> str:
+    """Return a status with its phrase, or one for all that have none."""
+    phrase = HTTPStatus(status).phrase if _is_known(status) else 'Status'
+    return f'{status} {phrase}'
+
+
 def send(response: Response, start_response: StartResponse) -> list[bytes]:
     """Start a WSGI response and return its body."""
-    phrase = (
-        HTTPStatus(response.status).phrase
-        if _is_known(response.status)
-        else 'Status'
-    )
     start_response(
-        f'{response.status} {phrase}',
+        make_status_line(response.status),
         [
             ('Content-Type', response.content_type),
             ('Content-Length', str(len(response.body))),
--- a/standins/rawserver.py
+++ b/standins/rawserver.py
@@ -1,8 +1,11 @@
 """Answers requests with given bytes, whether they are HTTP or not."""
 
 import contextlib
+import fcntl
 import re
 import socket
+import struct
+import termios
 import threading
 import time
 from collections.abc import Sequence
@@ -15,6 +18,12 @@
 RECEIVE_BYTES: Final = 65_536
 #: Longest wait for a request, or for the end of a connection.
 IDLE_SECONDS: Final = 5
+#: Receive buffer of an early server: little of an upload fits.
+EARLY_BUFFER_BYTES: Final = 4096
+#: Pause between looks whether sent bytes were acknowledged, in seconds.
+ACKNOWLEDGE_SECONDS: Final = 0.001
+#: SO_LINGER of a connection whose closing resets it.
+RESET: Final = struct.pack('ii', 1, 0)
 #: Bytes and pauses, in seconds, after a request. None ends its connection.
 Pieces = Sequence[bytes | float | None]
 
@@ -118,6 +127,72 @@
                     return
 
 
+class EarlyServer(RawServer):
+    """Answers once it has read a request's head, and not its body.
+
+    The answer has arrived before anything else happens on its connection.
+    """
+
+    def __init__(self, content: bytes = b'') -> None:
+        """Serve on a free port."""
+        super().__init__(content)
+        #: What follows the answer:
+        #: 'reset' - the connection is reset, the body not read,
+        #: 'end' - it is ended, then reset, all of the body read,
+        #: 'read' - the rest is read once released, to the connection's end.
+        self.ending = 'reset'
+        self.released = threading.Event()
+        #: Set once a connection was reset.
+        self.has_reset = threading.Event()
+        #: What was read after requests' heads.
+        self.late = bytearray()
+        self._listener.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, EARLY_BUFFER_BYTES
+        )
+
+    def _answer(self, connection: socket.socket) -> None:
+        with contextlib.suppress(OSError):
+            connection.settimeout(IDLE_SECONDS)
+            connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            if self.ending == 'end':
+                _receive_request(connection)
+            else:
+                self.late += _receive_head(connection)
+            self.requests += 1
+            connection.sendall(self.content)
+            _wait_until_acknowledged(connection)
+            if self.ending == 'read':
+                self._read_on(connection)
+            elif self.ending == 'end':
+                connection.shutdown(socket.SHUT_WR)
+                _wait_until_acknowledged(connection)
+            connection.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET)
+        connection.close()
+        self.has_reset.set()
+
+    def _read_on(self, connection: socket.socket) -> None:
+        self.released.wait(IDLE_SECONDS)
+        content = connection.recv(RECEIVE_BYTES)
+        while content:
+            self.late += content
+            content = connection.recv(RECEIVE_BYTES)
+
+
+def _wait_until_acknowledged(connection: socket.socket) -> None:
+    """Wait until the other end's system has all that was sent."""
+    unacknowledged = bytes(struct.calcsize('i'))
+    while any(fcntl.ioctl(connection, termios.TIOCOUTQ, unacknowledged)):
+        time.sleep(ACKNOWLEDGE_SECONDS)
+
+
+def _receive_head(connection: socket.socket) -> bytes:
+    """Read a request's head, and return what came with it."""
+    received = b''
+    while HEAD_END not in received:
+        received += connection.recv(RECEIVE_BYTES)
+    return received.partition(HEAD_END)[2]
+
+
 def _receive_request(connection: socket.socket) -> bool:
     """Read a request; return False if the connection ended before it."""
     received = b''
