--- a/src/toucancourse/command/arguments.py
+++ b/src/toucancourse/command/arguments.py
@@ -4,7 +4,7 @@
 from collections.abc import Callable
 from typing import Any
 
-from . import actions, queries
+from . import actions, checks, queries
 
 Action = Callable[..., int]
 
@@ -24,6 +24,7 @@
     parser.add_argument(
         '--output', choices=('text', 'json', 'csv'), default='text'
     )
+    parser.set_defaults(is_local=False)
     commands = parser.add_subparsers(required=True, metavar='COMMAND')
     _add_contract(commands)
     _add_version(commands)
@@ -32,6 +33,7 @@
         _add_out_of_service(commands, kind)
     _add_queries(commands)
     _add_objects(commands)
+    _add_check(commands)
     return parser
 
 
@@ -231,3 +233,31 @@
     operator.add_argument(
         '--role', choices=('read', 'operate', 'administer'), required=True
     )
+
+
+def _add_check(commands: Any) -> None:
+    check = _add_command(
+        commands,
+        'check',
+        checks.check_configuration,
+        'check a routing configuration before it is sent',
+    )
+    # It asks no entry.
+    check.set_defaults(is_local=True)
+    check.add_argument('file')
+    check.add_argument(
+        '--against',
+        default='',
+        metavar=f'FILE|{checks.IN_FORCE}',
+        help='also list what differs from another one',
+    )
+    check.add_argument(
+        '--endpoints',
+        action='store_true',
+        help='also look for services without registered endpoints',
+    )
+    check.add_argument(
+        '--store',
+        default='',
+        help=f'store address, IP:PORT (or {checks.STORE_VARIABLE})',
+    )
--- a/src/toucancourse/command/main.py
+++ b/src/toucancourse/command/main.py
@@ -5,7 +5,7 @@
 import sys
 from typing import Final
 
-from ..errors import CourseError, Outcome
+from ..errors import CourseError, LogDownError, Outcome
 from .arguments import make_parser
 from .client import (
     EXIT_FAILURE,
@@ -18,6 +18,8 @@
 
 ADMIN_VARIABLE: Final = 'TOUCANCTL_ADMIN'
 TOKEN_VARIABLE: Final = 'TOUCANCTL_TOKEN'
+#: Codes of errors in files that an operator wrote.
+FILE_CODES: Final = frozenset(('bad_contract', 'bad_file'))
 
 
 def main() -> None:
@@ -29,14 +31,19 @@
     """Run one command and return its exit code."""
     arguments = make_parser().parse_args(argv)
     try:
+        if arguments.is_local:
+            return int(arguments.action(arguments))
         return int(arguments.action(_make_client(arguments), arguments))
     except NoEntryError as error:
         sys.stderr.write(f'{error.code}: {error.text}\n')
         is_unknown = error.outcome is Outcome.unknown
         return EXIT_UNAVAILABLE if is_unknown else EXIT_FAILURE
+    except LogDownError as error:
+        sys.stderr.write(f'{error.code}: {error.text}\n')
+        return EXIT_UNAVAILABLE
     except CourseError as error:
         sys.stderr.write(f'{error.code}: {error.text}\n')
-        return EXIT_USAGE if error.code == 'bad_contract' else EXIT_REFUSED
+        return EXIT_USAGE if error.code in FILE_CODES else EXIT_REFUSED
 
 
 def _make_client(arguments: argparse.Namespace) -> AdminClient:
