--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -27,6 +27,7 @@
 from ..forwarding.selection import COLD_RATE_SHARE, EndpointSelector
 from ..forwarding.shifts import ShiftRegistry
 from ..forwarding.shutdown import Shutdown
+from ..forwarding.slowness import PeerSlowness
 from ..forwarding.tables import OperatorConfig
 from ..ingress.server import IngressLimits, IngressServer
 from ..membership.feeds import Feed, PollTiming
@@ -152,6 +153,7 @@
             lambda: self._status_feed.proof_age(),
         )
         self._loads = PeerLoads(self._entries.count)
+        self._slowness = PeerSlowness()
         self._metrics = ForwardingMetrics()
         self._status_topic = StoreTopic(settings.store, names.STATUS_TOPIC)
         self._quarantine = Quarantine(
@@ -189,6 +191,7 @@
             prefill,
             self._find_cold_rate,
             self._loads,
+            self._slowness,
         )
         self._relay = Relay(
             RelayContext(
@@ -403,9 +406,12 @@
             lambda: reporting.LocalState(
                 self._endpoints.snapshot_workloads(),
                 self._rollouts.list_baseline_sessions(),
+                self._endpoints.snapshot_slowness(),
             ),
             reporting.LoadServicer(
-                self._loads, self._rollouts.pin_baseline_session
+                self._loads,
+                self._rollouts.pin_baseline_session,
+                (self._slowness,),
             ),
         )
         topicreads = importlib.import_module(
--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -162,10 +162,10 @@
             endpoint.record.identifier, failed=False
         )
         endpoint.record_cached_parts(call, attempt.model)
-        mean_seconds = self._context.metrics.record_seconds(
+        self._context.metrics.record_seconds(
             (attempt.route.name, attempt.model), seconds
         )
-        endpoint.record_latency_ratio(seconds / mean_seconds)
+        self._record_speed(attempt, seconds)
         uncached = choice.scored.uncached_tokens
         self._context.prefill.observe(attempt.model, uncached, seconds)
         latency_class = LatencyClass(
@@ -182,6 +182,25 @@
             max(0.0, call.deadline - time.monotonic()),
         )
 
+    def _record_speed(self, attempt: Attempt, seconds: float) -> None:
+        """Compare the time to a response or first event with the forecast."""
+        scored = attempt.choice.scored
+        endpoint = scored.endpoint
+        metrics = self._context.metrics
+        metrics.forecast.labels('first').observe(seconds / scored.latency)
+        ratio = scored.forecast.record_response(seconds)
+        is_slow = endpoint.slowness.notice_change(ratio)
+        if is_slow is None:
+            return
+        metrics.slow_endpoints.labels(str(is_slow)).inc()
+        logger.info(
+            'endpoint became slow' if is_slow else 'endpoint is as fast again',
+            endpoint=endpoint.record.identifier,
+            service=endpoint.record.service,
+            ratio=round(ratio, 2),
+            limit=round(endpoint.limit.value, 1),
+        )
+
     def record_survival(
         self, call: Call, attempt: Attempt, *, is_complete: bool
     ) -> None:
@@ -211,10 +230,23 @@
     def record_end(self, call: Call, attempt: Attempt) -> None:
         """Restart the session's idle time at the end of its response."""
         choice = attempt.choice
+        self._record_stream(attempt)
         self._context.rollouts.pin_session(
             choice.service, call.session, choice.version, 0
         )
 
+    def _record_stream(self, attempt: Attempt) -> None:
+        """Compare the pauses between a stream's events with the forecast."""
+        events = attempt.progress.events
+        if events < PACE_EVENTS:
+            return
+        seconds = attempt.progress.find_age(time.monotonic())
+        scored = attempt.choice.scored
+        if scored.stream_seconds:
+            ratio = seconds / scored.stream_seconds
+            self._context.metrics.forecast.labels('last').observe(ratio)
+        scored.forecast.record_pause(seconds / (events - 1))
+
     def _record_loss(
         self, call: Call, attempt: Attempt, error: ConnectionLostError
     ) -> None:
@@ -277,6 +309,7 @@
             return
         self._context.connections.close_idle(record)
         if not has_started:
+            choice.scored.forecast.record_silence(seconds)
             # The time until the timeout counts as a response time, so that
             # the mean and later timeouts grow when endpoints slow down.
             self._context.metrics.record_seconds(
--- a/src/toucancourse/forwarding/backlog.py
+++ b/src/toucancourse/forwarding/backlog.py
@@ -3,8 +3,8 @@
 import threading
 import time
 from collections import defaultdict
-from collections.abc import Iterable
-from typing import Final
+from collections.abc import Sequence
+from typing import Final, NamedTuple
 
 from .loads import Workload
 from .objects import Load
@@ -15,14 +15,23 @@
 #: Share of less urgent work that delays a request: prefill runs in chunks
 #: that are not preempted.
 LESS_URGENT_SHARE: Final = 0.2
-#: Delay of a new request by each running one, in seconds.
-RUNNING_SECONDS: Final = 0.005
+#: Shortest prefill that is assumed of a waiting request, in seconds.
+MIN_WAITING_SECONDS: Final = 0.005
 #: Prefill time that is too short to report to other entries, in seconds.
 MIN_REPORTED_SECONDS: Final = 0.005
 #: Priority ranks of requests, 0 for the most urgent.
 RANKS: Final = range(10)
 
 
+class Queue(NamedTuple):
+    """Work at an endpoint that a new request meets."""
+
+    #: Prefill before it, in seconds.
+    seconds: float
+    #: Requests in flight.
+    running: float
+
+
 class Backlog:
     """In-flight requests at one endpoint; times are time.monotonic()."""
 
@@ -34,7 +43,8 @@
         #: Rank -> this entry's requests without a first event, and their
         #: prefill time in seconds.
         self._prefilling: dict[int, int] = defaultdict(int)
-        self._prefill_seconds: dict[int, float] = defaultdict(float)
+        self._prefill_seconds = [0.0 for _ in RANKS]
+        self._is_prefilling = False
         #: Requests of other entries by the endpoint's last report.
         self._others_running = 0.0
         self._others_waiting = 0.0
@@ -62,7 +72,7 @@
     def snapshot(self) -> Workload:
         """Return this entry's workload here, to report to other entries."""
         with self._lock:
-            prefill = [self._prefill_seconds.get(rank, 0.0) for rank in RANKS]
+            prefill = self._prefill_seconds.copy()
             running = self.running
         while prefill and prefill[-1] < MIN_REPORTED_SECONDS:
             prefill.pop()
@@ -70,27 +80,30 @@
             running, tuple(round(seconds, 2) for seconds in prefill)
         )
 
-    def predict_wait(
+    def measure_queue(
         self,
         rank: int,
         average_prefill: float,
         peer_workload: Workload | None,
-    ) -> float:
-        """Return the seconds until the prefill of a request of a rank starts.
+    ) -> Queue:
+        """Return the work that a new request of a rank meets.
 
         peer_workload is what the other entries report, or None. Without it
         their share is estimated from the endpoint's load reports, with
         average_prefill seconds for each of their waiting requests.
         """
-        with self._lock:
-            own = tuple(self._prefill_seconds.items())
-        wait = sum_prefill(own, rank) + self.running * RUNNING_SECONDS
+        seconds = 0.0
+        if self._is_prefilling:
+            seconds = sum_prefill(self._prefill_seconds, rank)
         if peer_workload is not None:
-            wait += sum_prefill(enumerate(peer_workload.prefill_seconds), rank)
-            return wait + peer_workload.running * RUNNING_SECONDS
-        waiting = self._others_waiting * max(RUNNING_SECONDS, average_prefill)
-        running = self._others_running * RUNNING_SECONDS
-        return wait + (waiting + running) * self._compute_decay()
+            if peer_workload.prefill_seconds:
+                seconds += sum_prefill(peer_workload.prefill_seconds, rank)
+            return Queue(seconds, self.running + peer_workload.running)
+        share = self._compute_decay()
+        waiting = self._others_waiting * share
+        seconds += waiting * max(MIN_WAITING_SECONDS, average_prefill)
+        running = self._others_running * share + waiting
+        return Queue(seconds, self.running + running)
 
     def _compute_decay(self) -> float:
         """Return the weight of the endpoint's last report, by its age."""
@@ -111,6 +124,7 @@
             self._prefill_seconds[rank] = max(
                 0.0, self._prefill_seconds[rank] + seconds
             )
+            self._is_prefilling = any(self._prefill_seconds)
 
 
 class InFlightRequest:
@@ -136,12 +150,10 @@
         self._backlog.adjust(-1, self._rank, 0, 0)
 
 
-def sum_prefill(prefill: Iterable[tuple[int, float]], rank: int) -> float:
+def sum_prefill(prefill: Sequence[float], rank: int) -> float:
     """Return the seconds by which queued work delays a request of a rank.
 
-    The work is given as pairs of a rank and prefill seconds.
+    The work is given as prefill seconds by rank.
     """
-    return sum(
-        seconds if other <= rank else LESS_URGENT_SHARE * seconds
-        for other, seconds in prefill
-    )
+    urgent = sum(prefill[: rank + 1])
+    return urgent + LESS_URGENT_SHARE * sum(prefill[rank + 1 :])
--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -15,7 +15,9 @@
 from .loads import Workload
 from .objects import Call, EndpointRecord
 from .pace import EventPace
+from .peerstates import Slowness
 from .records import Decoder
+from .slowness import ConcurrencyLimit, EndpointSlowness
 
 #: How long an endpoint whose record expired in an outage of the store stays
 #: in use after the store's return; live ones register again within two
@@ -23,10 +25,6 @@
 EXPIRY_GRACE_SECONDS: Final = 1.8
 #: Prompt parts tracked as cached by each endpoint.
 MAX_CACHED_PARTS: Final = 2000
-#: Weight of the newest response in an endpoint's average latency ratio.
-LATENCY_RATIO_WEIGHT: Final = 0.2
-#: Upper bound of one response's observed over expected latency.
-MAX_LATENCY_RATIO: Final = 20.0
 #: Backoff before an unreachable endpoint is used again.
 INITIAL_BACKOFF_SECONDS: Final = 0.3
 MAX_BACKOFF_SECONDS: Final = 2.4
@@ -49,8 +47,9 @@
         self.record = record
         self.backlog = Backlog()
         self.pace = EventPace()
-        #: Moving average of observed over expected latency.
-        self.latency_ratio = 1.0
+        self.slowness = EndpointSlowness()
+        self.limit = ConcurrencyLimit(record.slots)
+        self.digest = hash_text(record.identifier)
         self.cold_until = 0.0
         self.expired_at: float | None = None
         self.backoff_until = 0.0
@@ -91,12 +90,6 @@
             return False
         return time.monotonic() >= max(self.backoff_until, self.paused_until)
 
-    def record_latency_ratio(self, ratio: float) -> None:
-        """Record the observed over the expected latency of one response."""
-        self.latency_ratio += LATENCY_RATIO_WEIGHT * (
-            min(ratio, MAX_LATENCY_RATIO) - self.latency_ratio
-        )
-
     def record_unreachable(self) -> None:
         """Start the backoff of an endpoint that could not be reached.
 
@@ -217,8 +210,15 @@
     def snapshot_workloads(self) -> dict[int, Workload]:
         """Return this entry's workloads by the digests of endpoints."""
         return {
-            hash_text(key): endpoint.backlog.snapshot()
-            for key, endpoint in tuple(self._endpoints.items())
+            endpoint.digest: endpoint.backlog.snapshot()
+            for endpoint in tuple(self._endpoints.values())
+        }
+
+    def snapshot_slowness(self) -> dict[int, Slowness]:
+        """Return the slowness that this entry saw, by endpoints' digests."""
+        return {
+            endpoint.digest: endpoint.slowness.snapshot()
+            for endpoint in tuple(self._endpoints.values())
         }
 
     def apply(self, key: str, content: bytes | None) -> None:
--- a/src/toucancourse/forwarding/loads.py
+++ b/src/toucancourse/forwarding/loads.py
@@ -119,10 +119,21 @@
 
         Returns None if too few of them are reporting.
         """
+        totals = self.find_all()
+        if totals is None:
+            return None
+        return totals.get(hash_text(identifier), NO_WORKLOAD)
+
+    def find_all(self) -> Mapping[int, Workload] | None:
+        """Return the other entries' workloads by the endpoints' digests.
+
+        Endpoints without work may be missing. Returns None if too few entries
+        are reporting.
+        """
         others = self._count_entries() - 1
         if others < 1 or len(self._reports) < MIN_REPORTING_SHARE * others:
             return None
-        return self._totals.get(hash_text(identifier), NO_WORKLOAD)
+        return self._totals
 
     def _remove(self, instance: str) -> None:
         report = self._reports.pop(instance, None)
--- a/src/toucancourse/forwarding/metrics.py
+++ b/src/toucancourse/forwarding/metrics.py
@@ -11,6 +11,8 @@
 )
 
 BUCKETS: Final = (0.01, 0.03, 0.1, 0.2, 0.5, 1, 1.5, 2, 5, 10, 25)
+#: Bounds of seen over predicted times.
+RATIO_BUCKETS: Final = (0.25, 0.5, 0.8, 1.25, 2.5, 5, 10)
 #: Weight of the newest sample in the moving average of response times.
 MEAN_WEIGHT: Final = 0.1
 #: Lower bound of the moving average.
@@ -80,6 +82,19 @@
             'Age of the proof that the configuration is current',
             registry=registry,
         )
+        self.forecast = Histogram(
+            'toucancourse_forecast_ratio',
+            'Seen over predicted time to a response, first event or last one',
+            ('until',),
+            buckets=RATIO_BUCKETS,
+            registry=registry,
+        )
+        self.slow_endpoints = Counter(
+            'toucancourse_slow_endpoints',
+            'Endpoints found much slower than usual, and found usual again',
+            ('slow',),
+            registry=registry,
+        )
         self._mean_seconds: dict[tuple[str, str], float] = {}
 
     def record_request(
--- a/src/toucancourse/forwarding/pace.py
+++ b/src/toucancourse/forwarding/pace.py
@@ -9,6 +9,8 @@
 HALF_LIFE_SECONDS: Final = 2.0
 #: Weight of the newest pause between two events at an endpoint.
 PAUSE_WEIGHT: Final = 0.2
+#: Usual pauses that count beside the observed ones.
+PRIOR_PAUSES: Final = 2.0
 #: Weight of the newest stream in a route's events per expected token.
 STREAM_WEIGHT: Final = 0.1
 
@@ -20,26 +22,34 @@
         """Create a pace without any observation."""
         self._lock = threading.Lock()
         self._seconds = 0.0
+        #: Pauses that were observed, older ones counting less.
+        self._observed = 0.0
         self._updated_at = 0.0
 
     def observe(self, events: int, seconds: float) -> None:
         """Add the time in which a stream's next events arrived."""
         pause = seconds / max(1, events)
         with self._lock:
-            known = self._decay()
-            self._seconds = known + PAUSE_WEIGHT * (pause - known)
+            known = self._observed * self._find_freshness()
+            weight = max(PAUSE_WEIGHT, 1 / (1 + known))
+            self._seconds += weight * (pause - self._seconds)
+            self._observed = known + 1
             self._updated_at = time.monotonic()
 
-    def find_pause(self) -> float:
+    def find_pause(self, usual: float = 0.0) -> float:
         """Return the expected pause in seconds.
 
-        It falls to 0 without further observations.
+        It returns to what is usual without further observations.
         """
-        return self._decay()
+        freshness = self._find_freshness()
+        observed = self._observed * freshness
+        share = freshness * observed / (observed + PRIOR_PAUSES)
+        return usual + share * (self._seconds - usual)
 
-    def _decay(self) -> float:
+    def _find_freshness(self) -> float:
+        """Return the weight of the last observation, by its age."""
         age = time.monotonic() - self._updated_at
-        return float(self._seconds * 0.5 ** (age / HALF_LIFE_SECONDS))
+        return float(0.5 ** (age / HALF_LIFE_SECONDS))
 
 
 class StreamLengths:
--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -1,18 +1,20 @@
 """Selection of the endpoint with the lowest predicted latency."""
 
 import random
-from collections.abc import Callable, Collection, Sequence
+import time
+from collections.abc import Callable, Collection, Mapping, Sequence
 from typing import Final, NamedTuple
 
-from ..membership.directory import rank_by_hash
 from ..routing.endpoints import MAX_FAILURE_RATE, Outliers
+from .backlog import Queue
+from .digests import hash_text
 from .endpoints import Endpoint, Reservation
-from .loads import PeerLoads
+from .forecast import Demand, EngineModel, Forecast, ServiceTimes
+from .loads import NO_WORKLOAD, PeerLoads, Workload
 from .objects import Call
 from .prefill import PrefillEstimator
+from .slowness import NO_SUM, LogSum, PeerSlowness, compute_ratio
 
-#: Latency of every request besides prefill and queueing, in seconds.
-BASE_LATENCY_SECONDS: Final = 0.02
 #: Share of a prompt's shared tokens that is assumed to be cached at the
 #: affinity endpoint.
 AFFINITY_CACHED_SHARE: Final = 0.8
@@ -30,6 +32,9 @@
 #: Share of a cold endpoint's rate limit and of the permitted excess that is
 #: used.
 COLD_RATE_SHARE: Final = 0.8
+#: Factor that mixes the digests of a prompt and an endpoint, and its modulus.
+MIXER: Final = 0x9E3779B97F4A7C15
+MODULUS: Final = 0x1FFFFFFFFFFFFFFF
 
 
 class SelectionCriteria(NamedTuple):
@@ -61,10 +66,35 @@
     #: Prompt tokens without a cached prefix there, and their prefill time.
     uncached_tokens: int
     prefill_seconds: float
+    #: What was predicted, to learn from what is seen.
+    forecast: Forecast
     #: Counts the request at a cold endpoint; None before it was selected.
     reservation: Reservation | None = None
 
 
+class _Situation(NamedTuple):
+    """What is the same for all endpoints in one selection."""
+
+    call: Call
+    criteria: SelectionCriteria
+    times: ServiceTimes
+    #: Endpoint's digest -> the other entries' work there, or None.
+    workloads: Mapping[int, Workload] | None
+    #: Endpoint's digest -> slowness by the other entries.
+    slowness: Mapping[int, LogSum]
+    #: Average prefill of a request of the slowest model, in seconds.
+    average_prefill: float
+    affinity: Endpoint | None
+    #: Cost of sending the request to another zone, in seconds.
+    cross_zone_cost: float
+    #: time.monotonic().
+    now: float
+
+
+#: Score of an endpoint, and what is predicted there.
+_Candidate = tuple[float, Forecast]
+
+
 class EndpointSelector:
     """Ranks endpoints by predicted latency, without any network call."""
 
@@ -75,17 +105,21 @@
         prefill: PrefillEstimator,
         find_cold_rate: Callable[[str, str], float],
         loads: PeerLoads,
+        slowness: PeerSlowness | None = None,
     ) -> None:
         """Create a selector for an entry in a zone.
 
         find_cold_rate maps a service and an endpoint's identifier to the
         requests per second that this entry may send there while it is cold.
+        Without slowness, only what this entry sees itself counts.
         """
         self._zone = zone
         self._outliers = outliers
         self._prefill = prefill
         self._find_cold_rate = find_cold_rate
         self._loads = loads
+        self._slowness = slowness or PeerSlowness()
+        self._engines = EngineModel()
 
     def choose(
         self,
@@ -101,82 +135,128 @@
         usable = [
             endpoint
             for endpoint in endpoints
-            if self._is_eligible(endpoint, criteria)
+            if endpoint.record.identifier not in criteria.tried
+            and endpoint.is_usable()
         ]
         if not usable:
             return None
-        affinity = _find_affinity_endpoint(call, usable)
-        scored = [
-            self._score(call, endpoint, criteria, affinity)
-            for endpoint in usable
-        ]
-        for candidate in sorted(scored, key=lambda each: each.score):
-            identifier = candidate.endpoint.record.identifier
-            reservation = candidate.endpoint.reserve(
-                self._find_cold_rate(criteria.service, identifier)
+        situation = self._describe(call, usable, criteria)
+        candidates = [self._predict(situation, each) for each in usable]
+        for candidate in sorted(candidates, key=_get_score):
+            endpoint = candidate[1].endpoint
+            reservation = endpoint.reserve(
+                self._find_cold_rate(
+                    criteria.service, endpoint.record.identifier
+                )
             )
             if reservation is not None:
-                return candidate._replace(reservation=reservation)
+                return self._finish(criteria, candidate, reservation)
         return None
 
-    def _is_eligible(
-        self, endpoint: Endpoint, criteria: SelectionCriteria
-    ) -> bool:
-        if endpoint.record.identifier in criteria.tried:
-            return False
-        return endpoint.is_usable()
-
-    def _score(
+    def _describe(
         self,
         call: Call,
-        endpoint: Endpoint,
+        usable: Sequence[Endpoint],
         criteria: SelectionCriteria,
-        affinity: str,
-    ) -> ScoredEndpoint:
-        uncached = endpoint.count_uncached_tokens(call, criteria.model)
-        identifier = endpoint.record.identifier
-        if identifier == affinity:
-            shared = sum(part.tokens for part in call.prompt[:-1])
-            uncached = min(
-                uncached,
-                int(call.prompt_tokens - AFFINITY_CACHED_SHARE * shared),
-            )
-        uncached = max(0, uncached)
-        prefill = self._prefill.predict(criteria.model, uncached)
-        wait = endpoint.backlog.predict_wait(
-            criteria.rank,
+    ) -> _Situation:
+        return _Situation(
+            call,
+            criteria,
+            self._engines.find(criteria.service, criteria.model),
+            self._loads.find_all(),
+            self._slowness.totals,
             self._prefill.find_slowest_average(),
-            self._loads.find(identifier),
+            _find_affinity_endpoint(call, usable),
+            _estimate_cross_zone_cost(call),
+            time.monotonic(),
         )
-        latency = BASE_LATENCY_SECONDS + prefill + wait
-        latency *= endpoint.latency_ratio
-        score = latency
+
+    def _predict(self, situation: _Situation, endpoint: Endpoint) -> _Candidate:
+        uncached = _count_uncached(situation, endpoint)
+        queue = _measure_queue(situation, endpoint)
+        demand = Demand(uncached, queue.seconds, queue.running)
+        usual = situation.times.latency.predict(demand)
+        usual *= endpoint.limit.find_crowding(queue.running)
+        ratio = compute_ratio(
+            endpoint.slowness.total,
+            situation.slowness.get(endpoint.digest, NO_SUM),
+            situation.now,
+        )
+        score = usual * ratio
         if endpoint.record.zone != self._zone:
-            score += _estimate_cross_zone_cost(call)
-        failing = self._outliers.get_failure_rate(identifier)
+            score += situation.cross_zone_cost
+        failing = self._outliers.get_failure_rate(endpoint.record.identifier)
         score *= 1 + FAILURE_WEIGHT * failing
         if failing >= MAX_FAILURE_RATE:
             score *= FAILURE_WEIGHT
         score *= 1 + random.random() * JITTER
-        stream_seconds = criteria.events * endpoint.pace.find_pause()
+        forecast = Forecast(endpoint, situation.times, demand, usual, ratio)
+        return score, forecast
+
+    def _finish(
+        self,
+        criteria: SelectionCriteria,
+        candidate: _Candidate,
+        reservation: Reservation,
+    ) -> ScoredEndpoint:
+        score, forecast = candidate
+        uncached = forecast.demand.tokens
         return ScoredEndpoint(
-            endpoint, score, latency, stream_seconds, uncached, prefill
+            endpoint=forecast.endpoint,
+            score=score,
+            latency=forecast.usual_seconds * forecast.ratio,
+            stream_seconds=criteria.events * forecast.predict_pause(),
+            uncached_tokens=uncached,
+            prefill_seconds=self._prefill.predict(criteria.model, uncached),
+            forecast=forecast,
+            reservation=reservation,
         )
 
 
+def _get_score(candidate: _Candidate) -> float:
+    return candidate[0]
+
+
+def _measure_queue(situation: _Situation, endpoint: Endpoint) -> Queue:
+    """Return the work that the request meets at an endpoint."""
+    workload = None
+    if situation.workloads is not None:
+        workload = situation.workloads.get(endpoint.digest, NO_WORKLOAD)
+    return endpoint.backlog.measure_queue(
+        situation.criteria.rank, situation.average_prefill, workload
+    )
+
+
+def _count_uncached(situation: _Situation, endpoint: Endpoint) -> int:
+    """Return the prompt tokens that an endpoint has to prefill."""
+    call = situation.call
+    uncached = endpoint.count_uncached_tokens(call, situation.criteria.model)
+    if endpoint is situation.affinity:
+        shared = sum(part.tokens for part in call.prompt[:-1])
+        uncached = min(
+            uncached, int(call.prompt_tokens - AFFINITY_CACHED_SHARE * shared)
+        )
+    return max(0, uncached)
+
+
 def _estimate_cross_zone_cost(call: Call) -> float:
     """Return the cost of sending a request to another zone, in seconds."""
     size = len(call.body) + BYTES_PER_TOKEN * call.expected_tokens
     return CROSS_ZONE_SECONDS + CROSS_ZONE_SECONDS_PER_BYTE * size
 
 
-def _find_affinity_endpoint(call: Call, endpoints: Sequence[Endpoint]) -> str:
-    """Return the identifier of a shared prompt's affinity endpoint, or ''.
+def _find_affinity_endpoint(
+    call: Call, endpoints: Sequence[Endpoint]
+) -> Endpoint | None:
+    """Return a shared prompt's affinity endpoint, or None.
 
     Rendezvous hashing of the last shared part lets all entries choose the
     same endpoint.
     """
     if len(call.prompt) < 2:
-        return ''
-    names = [endpoint.record.identifier for endpoint in endpoints]
-    return rank_by_hash(call.prompt[-2].identifier, names)[0]
+        return None
+    shared = hash_text(call.prompt[-2].identifier)
+    return min(
+        endpoints,
+        key=lambda endpoint: (shared ^ endpoint.digest) * MIXER % MODULUS,
+    )
--- a/tests/test_selection.py
+++ b/tests/test_selection.py
@@ -255,7 +255,7 @@
     def test_slow_endpoint_gets_fewer_requests(self) -> None:
         endpoints = [make_endpoint(f'i-{row}') for row in range(4)]
         for _ in range(20):
-            endpoints[0].record_latency_ratio(6)
+            endpoints[0].slowness.observe(6)
         sent = replay(make_selector(), endpoints, [make_call()] * 100)
         assert sent['i-0'] < sent['i-1'] / 2
 
@@ -365,7 +365,7 @@
             request.finish_prefill()
         for request in requests:
             request.finish()
-        assert endpoint.backlog.predict_wait(9, 0.1, None) == pytest.approx(0)
+        assert endpoint.backlog.measure_queue(9, 0.1, None) == (0, 0)
         assert endpoint.backlog.running == 0
 
     def test_own_requests_are_not_counted_as_peer_requests(self) -> None:
