--- a/src/toucancourse/forwarding/forecast.py
+++ b/src/toucancourse/forwarding/forecast.py
@@ -143,11 +143,16 @@
 
         Returns the endpoint's slowness as it was predicted with.
         """
-        usual_ratio = max(MIN_SECONDS, seconds) / self.usual_seconds
-        ratio = usual_ratio / self.ratio
-        self.endpoint.slowness.observe(usual_ratio)
-        self.endpoint.limit.observe(self.demand.running, ratio)
-        self.times.latency.observe(self.demand, ratio)
+        # What was learnt since the choice counts: else all requests in flight
+        # would correct the same error once more.
+        running = self.demand.running
+        limit = self.endpoint.limit
+        ratio = max(MIN_SECONDS, seconds)
+        ratio /= self.times.latency.predict(self.demand)
+        limit.observe(running, ratio)
+        ratio /= limit.find_crowding(running)
+        self.endpoint.slowness.observe(ratio)
+        self.times.latency.observe(self.demand, ratio / self.ratio)
         return self.ratio
 
     def record_silence(self, seconds: float) -> None:
--- a/src/toucancourse/forwarding/slowness.py
+++ b/src/toucancourse/forwarding/slowness.py
@@ -26,18 +26,14 @@
 #: Slowness from which an endpoint is logged as slow, and below which as usual.
 SLOW_RATIO: Final = 2.0
 USUAL_RATIO: Final = 1.4
-#: Weight of the newest sample in the averages of a concurrency limit.
-LIMIT_WEIGHT: Final = 0.1
-#: Samples of both kinds from which a limit may change.
-MIN_LIMIT_SAMPLES: Final = 5
-#: Share of the limit from which an endpoint counts as busy.
-BUSY_SHARE: Final = 0.5
-#: Log ratios of busy over calm latency at which the limit falls or rises.
-FALL_EXCESS: Final = 0.4
-RISE_EXCESS: Final = 0.1
-#: Factors by which it falls and rises with each sample.
-FALL_FACTOR: Final = 0.93
-RISE_FACTOR: Final = 1.03
+#: Time constant of the latency at one number of running requests, in seconds.
+LEVEL_SECONDS: Final = 20.0
+#: Samples from which it counts.
+MIN_LEVEL_SAMPLES: Final = 4.0
+#: Factor between the numbers of running requests that are told apart.
+LEVEL_FACTOR: Final = 1.5
+#: Log of the factor by which latency must have risen at the limit.
+RISE: Final = 0.4
 
 
 class LogSum(NamedTuple):
@@ -120,6 +116,12 @@
         return Slowness(round(ratio, REPORTED_DIGITS), samples)
 
 
+class _Report(NamedTuple):
+    slowness: Slowness
+    #: What it adds to the endpoint's sum.
+    part: LogSum
+
+
 class PeerSlowness(StateListener):
     """Slowness of endpoints by what other entries report.
 
@@ -132,7 +134,7 @@
         #: Instance -> the stream that it reports on.
         self._streams: dict[str, object] = {}
         #: Instance -> endpoint's digest -> what it reported.
-        self._reports: dict[str, dict[int, LogSum]] = {}
+        self._reports: dict[str, dict[int, _Report]] = {}
         #: Endpoint's digest -> sum over all reports.
         self.totals: dict[int, LogSum] = {}
 
@@ -145,6 +147,9 @@
                 self._streams[instance] = stream
             reported = self._reports.setdefault(instance, {})
             for digest, slowness in state.slowness.items():
+                known = reported.get(digest)
+                if known is not None and known.slowness == slowness:
+                    continue
                 self._withdraw(reported, digest, now)
                 if slowness.samples:
                     self._add(reported, digest, slowness, now)
@@ -162,14 +167,14 @@
             self._withdraw(reported, digest, now)
 
     def _withdraw(
-        self, reported: dict[int, LogSum], digest: int, now: float
+        self, reported: dict[int, _Report], digest: int, now: float
     ) -> None:
         known = reported.pop(digest, None)
         if known is None:
             return
-        known = known.fade(now)
+        part = known.part.fade(now)
         total = self.totals.get(digest, NO_SUM).fade(now)
-        rest = total.add(-known.log_sum, -known.weight)
+        rest = total.add(-part.log_sum, -part.weight)
         if rest is NO_SUM:
             self.totals.pop(digest, None)
         else:
@@ -177,53 +182,78 @@
 
     def _add(
         self,
-        reported: dict[int, LogSum],
+        reported: dict[int, _Report],
         digest: int,
         slowness: Slowness,
         now: float,
     ) -> None:
         ratio = max(1 / MAX_RATIO, min(MAX_RATIO, slowness.ratio))
         log_sum = slowness.samples * math.log(ratio)
-        reported[digest] = LogSum(log_sum, slowness.samples, now)
+        part = LogSum(log_sum, slowness.samples, now)
+        reported[digest] = _Report(slowness, part)
         total = self.totals.get(digest, NO_SUM).fade(now)
         self.totals[digest] = total.add(log_sum, slowness.samples)
 
 
+class _Level:
+    """Latency at one endpoint while about as many requests run."""
+
+    def __init__(self) -> None:
+        """Create it without samples."""
+        self.log_mean = 0.0
+        self.weight = 0.0
+        self._updated_at = 0.0
+
+    def observe(self, sample: float) -> None:
+        """Add the log of seen over usual seconds."""
+        now = time.monotonic()
+        age = now - self._updated_at
+        self.weight *= math.exp(-age / LEVEL_SECONDS)
+        self.weight += 1
+        self.log_mean += (sample - self.log_mean) / self.weight
+        self._updated_at = now
+
+    def is_known(self, now: float) -> bool:
+        """Return True if there are enough samples at a time.monotonic()."""
+        share = math.exp((self._updated_at - now) / LEVEL_SECONDS)
+        return self.weight * share >= MIN_LEVEL_SAMPLES
+
+
 class ConcurrencyLimit:
     """Requests that an endpoint takes at a time before latency rises.
 
-    It begins at the endpoint's slots and is found by comparing the latency
-    with many requests running to that with few.
+    It is at most the endpoint's slots. Latency is averaged by how many
+    requests run; the limit is where it is much longer than with few. Without
+    new samples beyond it, the limit is forgotten and found again.
     """
 
     def __init__(self, slots: int) -> None:
         """Begin at a number of slots; 0 if unknown, which is no limit."""
         self._most = float(slots) if slots > 0 else math.inf
         self.value = self._most
-        #: Average log of seen over predicted latency, and samples, while the
-        #: endpoint is calm and while it is busy.
-        self._calm = 0.0
-        self._busy = 0.0
-        self._calm_samples = 0
-        self._busy_samples = 0
+        #: From few running requests to many.
+        self._levels: dict[int, _Level] = {}
 
     def find_crowding(self, running: float) -> float:
         """Return the factor by which a further request takes longer."""
         return max(1.0, (running + 1) / self.value)
 
     def observe(self, running: float, ratio: float) -> None:
-        """Add a sample: requests that ran, and seen over predicted seconds."""
+        """Add a sample: requests that ran, and seen over usual seconds."""
         sample = max(-_MAX_LOG, min(_MAX_LOG, math.log(ratio)))
-        if running + 1 <= BUSY_SHARE * self.value:
-            self._calm += LIMIT_WEIGHT * (sample - self._calm)
-            self._calm_samples += 1
-            return
-        self._busy += LIMIT_WEIGHT * (sample - self._busy)
-        self._busy_samples += 1
-        if min(self._calm_samples, self._busy_samples) < MIN_LIMIT_SAMPLES:
-            return
-        excess = self._busy - self._calm
-        if excess > FALL_EXCESS:
-            self.value = max(1.0, self.value * FALL_FACTOR)
-        elif excess < RISE_EXCESS:
-            self.value = min(self._most, self.value * RISE_FACTOR)
+        number = int(math.log(running + 1, LEVEL_FACTOR))
+        self._levels.setdefault(number, _Level()).observe(sample)
+        self.value = self._find_limit()
+
+    def _find_limit(self) -> float:
+        now = time.monotonic()
+        calm = None
+        for number in sorted(self._levels):
+            level = self._levels[number]
+            if not level.is_known(now):
+                continue
+            if calm is None:
+                calm = level.log_mean
+            elif level.log_mean - calm > RISE:
+                return max(1.0, min(self._most, LEVEL_FACTOR**number))
+        return self._most
