--- a/src/toucancourse/forwarding/selection.py
+++ b/src/toucancourse/forwarding/selection.py
@@ -201,11 +201,12 @@
     ) -> ScoredEndpoint:
         score, forecast = candidate
         uncached = forecast.demand.tokens
+        pauses = max(0.0, criteria.events - 1)
         return ScoredEndpoint(
             endpoint=forecast.endpoint,
             score=score,
             latency=forecast.usual_seconds * forecast.ratio,
-            stream_seconds=criteria.events * forecast.predict_pause(),
+            stream_seconds=pauses * forecast.predict_pause(),
             uncached_tokens=uncached,
             prefill_seconds=self._prefill.predict(criteria.model, uncached),
             forecast=forecast,
