--- a/src/toucancourse/forwarding/forecast.py
+++ b/src/toucancourse/forwarding/forecast.py
@@ -7,9 +7,12 @@
 from .endpoints import Endpoint
 
 #: Weight of the newest sample; the first ones weigh more.
-LEARNING_WEIGHT: Final = 0.1
+LEARNING_WEIGHT: Final = 0.15
 #: Bound of one sample's log of seen over predicted seconds.
 MAX_LOG_RATIO: Final = 1.0
+#: Number of first samples, and their bound: coefficients are far off yet.
+FIRST_SAMPLES: Final = 20
+MAX_FIRST_LOG_RATIO: Final = 2.0
 #: Factor within which a coefficient may differ from its first value.
 MAX_CHANGE: Final = 50.0
 #: Seconds that are assumed until something was seen: to a response, for each
@@ -81,10 +84,13 @@
 
     def observe(self, demand: Demand, ratio: float) -> None:
         """Add a sample: a demand, and seen over predicted seconds."""
-        sample = max(-MAX_LOG_RATIO, min(MAX_LOG_RATIO, math.log(ratio)))
         with self._lock:
             self._samples += 1
-            step = sample * max(LEARNING_WEIGHT, 1 / (self._samples + 1))
+            bound = MAX_LOG_RATIO
+            if self._samples <= FIRST_SAMPLES:
+                bound = MAX_FIRST_LOG_RATIO
+            step = max(-bound, min(bound, math.log(ratio)))
+            step *= max(LEARNING_WEIGHT, 2 / (self._samples + 3))
             step /= self.predict(demand)
             terms = (1.0, *demand)
             self.coefficients = Coefficients._make(
