--- a/src/toucancourse/forwarding/slowness.py
+++ b/src/toucancourse/forwarding/slowness.py
@@ -229,6 +229,7 @@
 
     def __init__(self, slots: int) -> None:
         """Begin at a number of slots; 0 if unknown, which is no limit."""
+        self._lock = threading.Lock()
         self._most = float(slots) if slots > 0 else math.inf
         self.value = self._most
         #: From few running requests to many.
@@ -242,8 +243,9 @@
         """Add a sample: requests that ran, and seen over usual seconds."""
         sample = max(-_MAX_LOG, min(_MAX_LOG, math.log(ratio)))
         number = int(math.log(running + 1, LEVEL_FACTOR))
-        self._levels.setdefault(number, _Level()).observe(sample)
-        self.value = self._find_limit()
+        with self._lock:
+            self._levels.setdefault(number, _Level()).observe(sample)
+            self.value = self._find_limit()
 
     def _find_limit(self) -> float:
         now = time.monotonic()
