--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -1,6 +1,8 @@
 """Speeds and limits of endpoints that are found out, by the load."""
 
 import math
+from collections import Counter
+from statistics import mean
 
 import pytest
 from hypothesis import given
@@ -13,6 +15,7 @@
     MAX_RATIO,
     NO_SUM,
     SLOW_RATIO,
+    ConcurrencyLimit,
     EndpointSlowness,
     PeerSlowness,
     compute_ratio,
@@ -106,6 +109,30 @@
         assert sent['i-0'] < 0.8 * min(sent['i-1'], sent['i-2'])
 
 
+class TestHalfOfEndpointsHaveACliff:
+    """Half of the endpoints take four times as long beyond 20 of 64 slots."""
+
+    def test_limits_make_responses_faster(
+        self, clock: Clock, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        def measure() -> float:
+            endpoints = [make_endpoint(f'i-{row}') for row in range(4)]
+
+            def respond(name: str, running: int, now: float) -> float:
+                knee = 20 if name in {'i-0', 'i-1'} else 64
+                return 0.5 if running <= knee else 2.0
+
+            entry = LoadedEntry(clock, endpoints, respond)
+            for _ in range(6):
+                entry.run(3, 40)
+                entry.run(2, 280)
+            return mean(seen for seen, _ in entry.times)
+
+        with_limits = measure()
+        monkeypatch.setattr(ConcurrencyLimit, 'observe', lambda *_: None)
+        assert with_limits < 0.97 * measure()
+
+
 class TestSpeedChangesWithinABurst:
     """A speed that changes in the middle of a burst, and changes back."""
 
@@ -231,6 +258,43 @@
             assert peers.totals == {}
 
 
+class TestManyEntries:
+    """Four entries with few requests each; a third of endpoints is slow."""
+
+    def test_reports_spare_requests_to_slow_endpoints(
+        self, clock: Clock
+    ) -> None:
+        def respond(name: str, running: int, now: float) -> float:
+            return USUAL_SECONDS * (SLOW_FACTOR if name in 'i-0 i-1' else 1)
+
+        def send(*, is_reporting: bool) -> int:
+            entries = [
+                LoadedEntry(
+                    clock,
+                    [make_endpoint(f'i-{row}') for row in range(6)],
+                    respond,
+                )
+                for _ in range(4)
+            ]
+            sent: Counter[str] = Counter()
+            for _ in range(40):
+                for row, entry in enumerate(entries):
+                    sent += entry.run(0.25, 12)
+                    if not is_reporting:
+                        continue
+                    slowness = {
+                        each.digest: each.slowness.snapshot()
+                        for each in entry.endpoints
+                    }
+                    for other in entries[:row] + entries[row + 1 :]:
+                        other.slowness.update(
+                            f'e-{row}', row, LocalState({}, {}, slowness)
+                        )
+            return sent['i-0'] + sent['i-1']
+
+        assert send(is_reporting=True) < 0.7 * send(is_reporting=False)
+
+
 class TestPeersStopReporting:
     """Peers that stop reporting, and an entry that is cut off."""
 
