--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -8,8 +8,12 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from toucancourse.forwarding.endpoints import EndpointRegistry
-from toucancourse.forwarding.peerstates import LocalState, Slowness
+from toucancourse.forwarding.endpoints import Endpoint
+from toucancourse.forwarding.peerstates import (
+    NO_SLOWNESS,
+    LocalState,
+    Slowness,
+)
 from toucancourse.forwarding.slowness import (
     HALF_LIFE_SECONDS,
     MAX_RATIO,
@@ -20,7 +24,6 @@
     PeerSlowness,
     compute_ratio,
 )
-from toucancourse.platform.records import PlatformDecoder
 
 from .endpointload import (
     USUAL_SECONDS,
@@ -28,6 +31,7 @@
     LoadedEntry,
     make_endpoint,
 )
+from .forwarding import RelayHarness
 
 SLOW_FACTOR = 2.7
 
@@ -186,15 +190,26 @@
     """An incarnation that ends; its successor is as fast as others."""
 
     def test_what_was_learnt_is_forgotten(self, clock: Clock) -> None:
-        registry = EndpointRegistry(PlatformDecoder(), lambda _: None)
-        first = make_endpoint('i-1')
+        harness = RelayHarness(replicas=1)
+        replica = harness.replicas[0]
+
+        def find_endpoint() -> Endpoint:
+            (endpoint,) = harness.endpoints.list_service(replica.service)
+            return endpoint
+
+        first = find_endpoint()
         for _ in range(20):
             first.slowness.observe(6)
-        second = make_endpoint('i-1', incarnation=2)
+        harness.endpoints.apply(replica.identifier, replica.record())
+        assert find_endpoint() is first
         assert compute_ratio(first.slowness.total, NO_SUM, clock.now) > 3
+        harness.endpoints.apply(replica.identifier, replica.record(born=77))
+        second = find_endpoint()
         assert compute_ratio(second.slowness.total, NO_SUM, clock.now) == 1
-        assert second.slowness.snapshot().samples == 0
-        assert registry.snapshot_slowness() == {}
+        assert second.limit.value == second.record.slots
+        reported = harness.endpoints.snapshot_slowness()
+        assert reported == {second.digest: NO_SLOWNESS}
+        harness.close()
 
 
 class TestPeers:
