--- a/standins/boot.py
+++ b/standins/boot.py
@@ -15,8 +15,8 @@
 frontend = "{host}:{port}"
 ready = "{host}:{ready}"
 [limits]
-memoryMb = 300
-fileDescriptors = 4200
+memoryMb = {memory_mb}
+fileDescriptors = {descriptors}
 [bounds]
 gracePeriodS = {grace}
 revocationMs = 3000
@@ -40,6 +40,8 @@
     store: str
     #: Time between the signal to stop and the forced end, in seconds.
     grace: int
+    memory_mb: int = 300
+    descriptors: int = 4200
 
 
 def write_boot_file(path: Path, boot: BootSettings) -> None:
--- /dev/null
+++ b/tests/test_hostile_clients.py
@@ -0,0 +1,362 @@
+"""Clients that send much and finish nothing end no entry.
+
+Each test starts an entry as a process with little memory and sets a crowd on
+it. Crowd and bounds were set before the entry was changed to bear them.
+"""
+
+import contextlib
+import ipaddress
+import itertools
+import os
+import socket
+import sys
+import threading
+from abc import ABC, abstractmethod
+from collections.abc import Iterator
+from concurrent.futures import ThreadPoolExecutor
+from http.client import HTTPException
+from pathlib import Path
+from typing import Final
+
+import pytest
+
+from standins.boot import BootSettings, write_boot_file
+from standins.calls import Response, call, find_port, wait_until
+from standins.keyedstore import KeyedStore
+from standins.nodes import Node
+from standins.operator_config import HOST, KEY, make_operator_config
+from standins.replica import Replica
+
+#: Limits in the entry's settings; both are the bounds of the tests.
+MEMORY_MB: Final = 128
+DESCRIPTORS: Final = 200
+KILOBYTES_PER_MB: Final = 1024
+BYTES_PER_MB: Final = 1_048_576
+#: Limits of an entry in calm.
+SMALLEST_MEMORY_MB: Final = 160
+ORDINARY_DESCRIPTORS: Final = 4200
+#: Connections of the crowd.
+CROWD: Final = 32
+#: Largest legal body, and what is sent by those that stop at no limit.
+BODY_BYTES: Final = 4_194_304
+ENDLESS_BYTES: Final = 8 * BODY_BYTES
+LARGE_CHUNK_BYTES: Final = 65_536
+SMALL_CHUNK_BYTES: Final = 32
+PIECE_BYTES: Final = 16_384
+LAST_CHUNK: Final = b'0\r\n\r\n'
+#: Headers of a few bytes that fill a head of 64 KiB.
+HEADERS: Final = 9_000
+#: Callers beside the largest legal request.
+ORDINARY_CALLERS: Final = 200
+#: Patience of a client whose bytes aren't read.
+SEND_SECONDS: Final = 20.0
+#: Patience of the ordinary caller.
+ANSWER_SECONDS: Final = 60
+START_SECONDS: Final = 10
+#: Wait for the entry to read what the crowd sent; what it leaves unread counts.
+READ_SECONDS: Final = 20
+#: State of a listening socket in /proc/net/tcp.
+LISTENING: Final = '0A'
+_hosts = itertools.count(2)
+
+
+class Entry:
+    """An entry with little memory, its store and one endpoint."""
+
+    def __init__(
+        self,
+        folder: Path,
+        memory_mb: int = MEMORY_MB,
+        descriptors: int = DESCRIPTORS,
+    ) -> None:
+        """Start them and wait for readiness."""
+        self.store = KeyedStore()
+        self.replica = Replica('i-1')
+        self.store.put('keyed.op', 'config', make_operator_config())
+        self.store.put('keyed.servers', 'i-1', self.replica.record())
+        self.host = f'127.0.7.{next(_hosts)}'
+        self.port, self.ready_port = find_port(), find_port()
+        boot = BootSettings(
+            'entry-1',
+            self.host,
+            self.port,
+            self.ready_port,
+            find_port(),
+            self.store.address,
+            grace=6,
+            memory_mb=memory_mb,
+            descriptors=descriptors,
+        )
+        path = folder / 'boot.toml'
+        write_boot_file(path, boot)
+        command = [sys.executable, '-m', 'toucancourse.daemon', str(path)]
+        self.node = Node('entry-1', command, folder / 'entry.log')
+        self.node.start()
+        wait_until(self.is_ready, START_SECONDS, 'readiness')
+
+    def is_ready(self) -> bool:
+        """Return True if the readiness probe succeeds."""
+        address = f'{self.host}:{self.ready_port}'
+        try:
+            return call(address, 'GET', '/readiness', timeout=2).status == 200
+        except (OSError, HTTPException):
+            return False
+
+    def connect(self) -> socket.socket:
+        """Return a new connection of a caller."""
+        return socket.create_connection((self.host, self.port), SEND_SECONDS)
+
+    def send_ordinary(self, path: str = '/look/x') -> Response:
+        """Return the response to an ordinary request."""
+        headers = {
+            'Host': HOST,
+            'X-Attempt-Id': os.urandom(8).hex(),
+            'X-Key': KEY,
+            'X-Deadline-Ms': str(ANSWER_SECONDS * 1000),
+        }
+        address = f'{self.host}:{self.port}'
+        return call(address, 'POST', path, {}, headers, ANSWER_SECONDS)
+
+    def read_peak_mb(self) -> float:
+        """Return the largest memory that the process ever had, in MB."""
+        status = (self._find_folder() / 'status').read_text()
+        line = next(x for x in status.splitlines() if x.startswith('VmHWM'))
+        return int(line.split()[1]) / KILOBYTES_PER_MB
+
+    def count_unread_mb(self) -> float:
+        """Return how much callers sent that the process hasn't read, in MB."""
+        local = ipaddress.IPv4Address(self.host).packed[::-1].hex().upper()
+        local = f'{local}:{self.port:04X}'
+        rows = Path('/proc/net/tcp').read_text().splitlines()[1:]
+        fields = [row.split() for row in rows]
+        return sum(
+            int(queues.split(':')[1], 16) / BYTES_PER_MB
+            for _, address, _, state, queues, *_ in fields
+            if address == local and state != LISTENING
+        )
+
+    def count_descriptors(self) -> int:
+        """Return the number of open descriptors of the process."""
+        return len(list((self._find_folder() / 'fd').iterdir()))
+
+    def close(self) -> None:
+        """Stop the entry, the store and the endpoint."""
+        self.node.kill()
+        self.store.close()
+        self.replica.close()
+
+    def _find_folder(self) -> Path:
+        assert self.node.process is not None
+        return Path(f'/proc/{self.node.process.pid}')
+
+
+class Client(ABC):
+    """Sends one request that never ends and keeps its connection."""
+
+    #: Connections of a crowd of them.
+    crowd = CROWD
+
+    def __init__(self, entry: Entry) -> None:
+        """Connect; run() sends."""
+        self.sock = entry.connect()
+
+    def run(self) -> None:
+        """Send until the request's last byte, or the entry takes no more."""
+        # A refusal, a closed connection or one that isn't read ends it.
+        with contextlib.suppress(OSError):
+            self.sock.sendall(self.make_head())
+            for piece in self.make_pieces():
+                self.sock.sendall(piece)
+
+    def make_head(self) -> bytes:
+        """Return the head."""
+        lines = (
+            'POST /look/x HTTP/1.1',
+            f'Host: {HOST}',
+            f'X-Attempt-Id: {os.urandom(8).hex()}',
+            f'X-Key: {KEY}',
+            f'X-Deadline-Ms: {ANSWER_SECONDS * 1000}',
+            self.make_length_line(),
+        )
+        return '\r\n'.join((*lines, '', '')).encode()
+
+    @abstractmethod
+    def make_length_line(self) -> str:
+        """Return the header that tells the body's length."""
+
+    @abstractmethod
+    def make_pieces(self) -> Iterator[bytes]:
+        """Yield what is sent of the body."""
+
+
+class ChunkedClient(Client):
+    """Sends a body in chunks and leaves out the last."""
+
+    chunk_bytes = LARGE_CHUNK_BYTES
+    #: Bytes of the body with its framing.
+    most_bytes = BODY_BYTES
+
+    def make_length_line(self) -> str:
+        """Return the header of a chunked body."""
+        return 'Transfer-Encoding: chunked'
+
+    def make_pieces(self) -> Iterator[bytes]:
+        """Yield some chunks at once, which the loop of small ones needs."""
+        size = self.chunk_bytes
+        chunk = b'%x\r\n%b\r\n' % (size, b'b' * size)
+        count = (self.most_bytes - 1) // len(chunk)
+        at_once = max(1, LARGE_CHUNK_BYTES // len(chunk))
+        for start in range(0, count, at_once):
+            yield chunk * min(at_once, count - start)
+
+
+class SmallChunksClient(ChunkedClient):
+    """The same in very small chunks."""
+
+    chunk_bytes = SMALL_CHUNK_BYTES
+
+
+class EndlessClient(ChunkedClient):
+    """Sends chunks far beyond the limit."""
+
+    most_bytes = ENDLESS_BYTES
+
+
+class WholeClient(Client):
+    """Sends a legal body but for its last byte."""
+
+    announced_bytes = BODY_BYTES
+
+    def make_length_line(self) -> str:
+        """Return the header of the announced length."""
+        return f'Content-Length: {self.announced_bytes}'
+
+    def make_pieces(self) -> Iterator[bytes]:
+        """Yield all but the last byte at once."""
+        yield b'b' * (self.announced_bytes - 1)
+
+
+class PiecesClient(WholeClient):
+    """The same piece by piece."""
+
+    def make_pieces(self) -> Iterator[bytes]:
+        """Yield pieces of all but the last byte."""
+        left = self.announced_bytes - 1
+        while left:
+            size = min(left, PIECE_BYTES)
+            yield b'b' * size
+            left -= size
+
+
+class AnnouncedClient(PiecesClient):
+    """Announces a body far over the limit and sends it."""
+
+    announced_bytes = ENDLESS_BYTES
+
+
+class ManyHeadersClient(Client):
+    """Sends as many headers as its head may hold, and no body."""
+
+    crowd = 2 * CROWD
+
+    def make_length_line(self) -> str:
+        """Return all the headers, and that of a chunked body."""
+        lines = [f'{number:x}:' for number in range(HEADERS)]
+        return '\r\n'.join((*lines, 'Transfer-Encoding: chunked'))
+
+    def make_pieces(self) -> Iterator[bytes]:
+        """Yield the begin of a chunk."""
+        yield b'1'
+
+
+@pytest.fixture
+def entry(tmp_path: Path) -> Iterator[Entry]:
+    """Return an entry that is ready."""
+    running = Entry(tmp_path)
+    yield running
+    running.close()
+
+
+@pytest.fixture
+def calm(tmp_path: Path) -> Iterator[Entry]:
+    """Return an entry with the memory of the smallest deployment."""
+    running = Entry(tmp_path, SMALLEST_MEMORY_MB, ORDINARY_DESCRIPTORS)
+    yield running
+    running.close()
+
+
+@contextlib.contextmanager
+def send_crowd(entry: Entry, kind: type[Client]) -> Iterator[None]:
+    """Let a crowd send at once; its connections stay open meanwhile."""
+    clients = [kind(entry) for _ in range(kind.crowd)]
+    threads = [threading.Thread(target=client.run) for client in clients]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    yield
+    for client in clients:
+        client.sock.close()
+
+
+class TestCrowd:
+    """The entry lives, stays within its limits and serves others."""
+
+    @pytest.mark.parametrize(
+        'kind',
+        [
+            ChunkedClient,
+            SmallChunksClient,
+            AnnouncedClient,
+            EndlessClient,
+            WholeClient,
+            PiecesClient,
+            ManyHeadersClient,
+        ],
+    )
+    def test_entry_bears_it(self, entry: Entry, kind: type[Client]) -> None:
+        with send_crowd(entry, kind):
+            with contextlib.suppress(TimeoutError):
+                wait_until(
+                    lambda: not entry.count_unread_mb(), READ_SECONDS, 'reads'
+                )
+            answer = entry.send_ordinary()
+            descriptors = entry.count_descriptors()
+            peak_mb = entry.read_peak_mb() + entry.count_unread_mb()
+        print(f'{kind.__name__}: {peak_mb:.0f} MB, {descriptors} descriptors')
+        assert entry.node.is_running()
+        assert answer.status == 200
+        assert descriptors < DESCRIPTORS
+        assert peak_mb < MEMORY_MB
+
+
+class TestCalm:
+    """The largest legal request is served beside many ordinary ones."""
+
+    @pytest.mark.parametrize('line', ['Content-Length', 'Transfer-Encoding'])
+    def test_largest_body_is_served(self, calm: Entry, line: str) -> None:
+        with ThreadPoolExecutor(ORDINARY_CALLERS) as pool:
+            ordinary = [
+                pool.submit(calm.send_ordinary) for _ in range(ORDINARY_CALLERS)
+            ]
+            largest = self._send_largest(calm, line)
+            statuses = {future.result().status for future in ordinary}
+        assert b' 200 ' in largest
+        assert statuses == {200}
+
+    def _send_largest(self, calm: Entry, line: str) -> bytes:
+        with calm.connect() as sock:
+            sock.settimeout(ANSWER_SECONDS)
+            if line == 'Content-Length':
+                client: Client = WholeClient(calm)
+                body = b'b' * BODY_BYTES
+            else:
+                client = ChunkedClient(calm)
+                chunk = b'%x\r\n%b\r\n' % (
+                    LARGE_CHUNK_BYTES,
+                    b'b' * LARGE_CHUNK_BYTES,
+                )
+                body = chunk * (BODY_BYTES // LARGE_CHUNK_BYTES) + LAST_CHUNK
+            client.sock.close()
+            sock.sendall(client.make_head() + body)
+            return sock.recv(LARGE_CHUNK_BYTES).partition(b'\r\n')[0]
