--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -51,6 +51,10 @@
 MAX_REQUEST_THREADS: Final = 600
 #: Share of the memory for the bodies of responses.
 RESPONSE_MEMORY_SHARE: Final = 0.1
+#: Share of the memory for the requests of callers, and the least number of the
+#: largest bodies that it must hold.
+REQUEST_MEMORY_SHARE: Final = 0.15
+MIN_LARGEST_BODIES: Final = 4
 BYTES_PER_MB: Final = 1_048_576
 #: Largest header and body of a caller's request.
 MAX_HEADER_BYTES: Final = 65_536
@@ -330,6 +334,12 @@
                 threads,
                 MAX_HEADER_BYTES,
                 MAX_BODY_BYTES,
+                max(
+                    MIN_LARGEST_BODIES * MAX_BODY_BYTES,
+                    int(
+                        settings.memory_mb * REQUEST_MEMORY_SHARE * BYTES_PER_MB
+                    ),
+                ),
             ),
         )
         health = Health(
@@ -464,6 +474,7 @@
             table = self._operators.table
             if table is not None:
                 self._ingress.idle_seconds = table.limits.idle_seconds
+                self._ingress.care.head_seconds = table.limits.head_seconds
 
 
 def _start_thread(target: Callable[[], None]) -> threading.Thread:
--- a/src/toucancourse/errors.py
+++ b/src/toucancourse/errors.py
@@ -124,6 +124,13 @@
     status = 413
 
 
+class SlowRequestError(CourseError):
+    """The request didn't arrive in time."""
+
+    code = 'request_timeout'
+    status = 408
+
+
 class LimitedError(CourseError):
     """A limit of the contract is reached."""
 
@@ -161,6 +168,12 @@
     retry_after = 5
 
 
+class CrowdedError(UnavailableError):
+    """Unfinished requests hold the memory that this one needs."""
+
+    code = 'crowded'
+
+
 class LeavingError(UnavailableError):
     """The daemon is shutting down."""
 
--- a/src/toucancourse/forwarding/objects.py
+++ b/src/toucancourse/forwarding/objects.py
@@ -77,6 +77,8 @@
 
     #: Keep-alive timeout between requests.
     idle_seconds: float
+    #: Time in which the head of a request must arrive.
+    head_seconds: float = 60.0
 
 
 class RoutingTable(NamedTuple):
--- a/src/toucancourse/ingress/channels.py
+++ b/src/toucancourse/ingress/channels.py
@@ -6,14 +6,15 @@
 from typing import Any, Final
 
 from loguru import logger
-from waitress.channel import ClientDisconnected, HTTPChannel
-from waitress.parser import HTTPRequestParser, ParsingError
+from waitress.channel import ClientDisconnected
+from waitress.parser import ParsingError
 from waitress.task import Task
 
 from ..errors import CourseError, LeavingError
 from ..forwarding.messages import RawRequest
 from ..forwarding.objects import Headers
 from ..forwarding.responses import CallerGoneError, ResponseWriter
+from ..web.channels import BoundedChannel, BoundedParser
 from ..web.messages import make_error_response
 
 CLOSE: Final = 'close'
@@ -21,7 +22,7 @@
 WRITE_BYTES: Final = 65_536
 
 
-class StrictParser(HTTPRequestParser):
+class StrictParser(BoundedParser):
     """Rejects requests with ambiguous length, against request smuggling."""
 
     #: True once the request was passed to a task.
@@ -189,7 +190,7 @@
             self.close_on_finish = True
 
 
-class IngressChannel(HTTPChannel):
+class IngressChannel(BoundedChannel):
     """A caller's connection that reports when it is closed."""
 
     task_class: Any = IngressTask
@@ -197,15 +198,8 @@
     #: Called when the caller closes its connection.
     on_disconnect: Callable[[], None] | None = None
 
-    def __init__(self, *arguments: Any, **options: Any) -> None:
-        """Create a channel for a connection that was just accepted."""
-        super().__init__(*arguments, **options)
-        #: time.monotonic() of the last byte in or out.
-        self.last_used = time.monotonic()
-
     def handle_read(self) -> None:
         """Read, or cancel the running request if the caller disconnected."""
-        self.last_used = time.monotonic()
         super().handle_read()
         if not self.connected:
             self._notify_disconnect()
@@ -215,40 +209,10 @@
         super().handle_close()
         self._notify_disconnect()
 
-    def handle_write(self) -> None:
-        """Send output that waits."""
-        unsent = self.total_outbufs_len
-        super().handle_write()
-        if self.total_outbufs_len < unsent:
-            self.last_used = time.monotonic()
-
-    def has_requests(self) -> bool:
-        """Return True while a request is received or served."""
-        return bool(self.requests) or self.request is not None
-
-    def has_output(self) -> bool:
-        """Return True while the caller has not read all output."""
-        return bool(self.connected and self.total_outbufs_len > 0)
-
     def is_busy(self) -> bool:
         """Return True while a request is received, served or answered."""
         return self.has_requests() or self.has_output()
 
-    def readable(self) -> bool:
-        """Return True if there may be input from a connected caller."""
-        return self.connected and super().readable()
-
-    def writable(self) -> bool:
-        """Return True if there is output, or the connection must be closed."""
-        if not self.connected and not self.requests:
-            self.will_close = True
-        return bool(super().writable())
-
-    def service(self) -> None:
-        """Serve the first queued request."""
-        super().service()
-        self.last_used = time.monotonic()
-
     def _notify_disconnect(self) -> None:
         on_disconnect = self.on_disconnect
         if on_disconnect is not None:
--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -18,6 +18,8 @@
 
 from ..forwarding.messages import RawRequest
 from ..forwarding.responses import ResponseWriter
+from ..web.channels import ChannelCare
+from ..web.intake import Intake, IntakeLimits
 from .channels import IngressChannel
 
 #: Interval between checks for idle connections.
@@ -30,6 +32,14 @@
 #: Time after the last byte in which the caller may still send a request on a
 #: connection of which no response announced that it closes.
 LINGER_SECONDS: Final = 0.5
+#: Bytes that all requests hold together, unless they are configured.
+DEFAULT_HELD_BYTES: Final = 33_554_432
+#: Share of the connections on which a request may be unfinished.
+UNFINISHED_SHARE: Final = 0.75
+#: Share of the connections above which silent ones are closed, and the time
+#: after which one is silent that never sent a byte.
+OPEN_SHARE: Final = 0.85
+SILENCE_SECONDS: Final = 2.0
 #: Stack size of a request's thread; the deepest calls need far less.
 THREAD_STACK_BYTES: Final = 262_144
 
@@ -43,6 +53,9 @@
     threads: int
     max_header_bytes: int
     max_body_bytes: int
+    #: Bytes that all requests may hold together, from their first byte to the
+    #: end of their answer.
+    held_bytes: int = DEFAULT_HELD_BYTES
 
 
 class PoolDispatcher:
@@ -102,6 +115,17 @@
         #: True once idle connections are closed and new ones not accepted.
         self.is_closed = False
         self.idle_seconds = 60.0
+        self._free_from = int(limits.connections * OPEN_SHARE)
+        self.care = ChannelCare(
+            Intake(
+                IntakeLimits(
+                    limits.held_bytes,
+                    max(1, int(limits.connections * UNFINISHED_SHARE)),
+                )
+            )
+        )
+        self.intake = self.care.intake
+        self.refusals = self.care.refusals
         adjustments = Adjustments(
             host=host,
             port=int(port),
@@ -145,6 +169,27 @@
             is_idle = channel.has_output() or not channel.has_requests()
             if is_idle and channel.last_used < used_before:
                 channel.will_close = True
+        self.care.check(tuple(self.active_channels.values()))
+        self._close_unused_surplus()
+
+    def _close_unused_surplus(self) -> None:
+        """Close connections that never sent a byte if there are many.
+
+        Others could not connect once the limit is reached.
+        """
+        surplus = self.count_open() - self._free_from
+        if surplus <= 0:
+            return
+        opened_before = time.monotonic() - SILENCE_SECONDS
+        silent = [
+            channel
+            for channel in tuple(self.active_channels.values())
+            if not channel.was_used and channel.last_used < opened_before
+        ]
+        silent.sort(key=lambda channel: channel.last_used)
+        for channel in silent[:surplus]:
+            channel.will_close = True
+            self.refusals.add('silent')
 
     def close_idle(self) -> None:
         """Close idle connections now and accept no new ones.
--- a/src/toucancourse/platform/records.py
+++ b/src/toucancourse/platform/records.py
@@ -38,6 +38,8 @@
 MAX_PORT: Final = 65_535
 #: Idle timeout of callers' connections if the configuration states none.
 DEFAULT_IDLE_MS: Final = 15_000
+#: Time for the head of a request if the configuration states none.
+DEFAULT_HEAD_MS: Final = 60_000
 #: Roll-out state of the router -> its name in status records.
 STATE_NAMES: Final = {
     'running': 'in_progress',
@@ -206,4 +208,6 @@
     return CallerLimits(
         idle_seconds=float(fields.get('idleTimeoutMs') or DEFAULT_IDLE_MS)
         / MS_PER_SECOND,
+        head_seconds=float(fields.get('headerTimeoutMs') or DEFAULT_HEAD_MS)
+        / MS_PER_SECOND,
     )
--- /dev/null
+++ b/src/toucancourse/web/channels.py
@@ -0,0 +1,360 @@
+"""Waitress channels whose requests share a bounded memory.
+
+Serves callers that aren't trusted: what is unfinished is refused once it needs
+the memory of others, and what follows a refusal is read and dropped.
+"""
+
+import socket
+import time
+from collections.abc import Callable
+from typing import Any, Final
+
+from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
+from waitress.receiver import ChunkedReceiver
+from waitress.utilities import BadRequest
+
+from ..errors import CourseError, CrowdedError, SlowRequestError
+from .intake import Holding, Intake
+from .refusals import Refusal, RefusalLog
+
+#: Memory of a request besides its headers and body.
+REQUEST_BYTES: Final = 2048
+#: Memory of a parsed header besides its text.
+HEADER_BYTES: Final = 200
+#: A whole body and the copy of it that is served.
+BODY_COPIES: Final = 2
+#: Bytes of framing that count as one byte of a body.
+FRAMING_FACTOR: Final = 8
+#: Longest line of a chunk's size, and longest trailer.
+MAX_LINE_BYTES: Final = 8192
+#: Bytes that are decoded at once.
+DECODED_BYTES: Final = 512
+#: Time in which the head of a request must arrive, unless it is configured.
+HEAD_SECONDS: Final = 60.0
+#: Time without a byte after which an unfinished body is given up.
+BODY_SILENCE_SECONDS: Final = 60.0
+#: Time for a client to read its refusal.
+LINGER_SECONDS: Final = 1.0
+#: Time in which a client that reads its answer has read some of it.
+UNREAD_SECONDS: Final = 5.0
+
+
+class BoundedChunks(ChunkedReceiver):
+    """Decodes chunks whose lines are bounded."""
+
+    buf: Any
+
+    def received(self, content: bytes) -> int:
+        """Decode bytes; return how many were used."""
+        if self.chunk_remainder > len(content):
+            return int(super().received(content))
+        body = self.buf
+        chunks: list[bytes] = []
+        self.buf = chunks
+        try:
+            return self._decode(content)
+        finally:
+            self.buf = body
+            if chunks:
+                body.append(b''.join(chunks))
+
+    def _decode(self, content: bytes) -> int:
+        """Decode small pieces, since waitress copies the rest at each chunk."""
+        used = 0
+        for start in range(0, len(content), DECODED_BYTES):
+            piece = content[start : start + DECODED_BYTES]
+            used += int(ChunkedReceiver.received(self, piece))
+            line = max(len(self.control_line), len(self.trailer))
+            if line > MAX_LINE_BYTES and not self.completed:
+                self.error = BadRequest('a line of the chunks is too long')
+            if self.completed or self.error:
+                break
+        return used
+
+
+class BoundedParser(HTTPRequestParser):
+    """A request that knows the memory that it holds."""
+
+    #: Bytes that are kept for the whole request until it is closed.
+    kept = 0
+    #: Function that frees them.
+    free: Callable[[int], None] | None = None
+    _wire_bytes = 0
+
+    @property
+    def body_bytes_received(self) -> int:
+        """Return the size of the body that waitress compares with its limit.
+
+        The framing of chunks is no part of it, unless there is little else.
+        """
+        content = len(self.body_rcv) if self.body_rcv else 0
+        return max(content, self._wire_bytes // FRAMING_FACTOR)
+
+    @body_bytes_received.setter
+    def body_bytes_received(self, size: int) -> None:
+        # Waitress adds what came to the size that it was told.
+        self._wire_bytes += size - self.body_bytes_received
+
+    def measure(self) -> int:
+        """Return the memory that the request holds, in bytes."""
+        size = REQUEST_BYTES + HEADER_BYTES * len(self.headers)
+        body = self.body_rcv
+        if body is None:
+            return size + len(self.header_plus)
+        return size + self.header_bytes_received + len(body)
+
+    def parse_header(self, header_plus: bytes) -> None:
+        """Parse the header."""
+        super().parse_header(header_plus)
+        if self.chunked and self.body_rcv is not None:
+            self.body_rcv = BoundedChunks(self.body_rcv.getbuf())
+
+    def refuse(self, error: CourseError) -> None:
+        """Drop what was received and answer with an error."""
+        self.close()
+        self.body_rcv = None
+        self.header_plus = b''
+        self.headers = {}
+        self.error = Refusal(error)
+        self.completed = True
+
+    def close(self) -> None:
+        """Release the body."""
+        super().close()
+        if self.free is not None:
+            self.free(self.kept)
+            self.free = None
+
+
+class BoundedChannel(HTTPChannel):
+    """A connection whose requests share the memory of their server."""
+
+    parser_class: Any = BoundedParser
+    server: Any
+    request: Any
+    requests: list[Any]
+    requests_lock: Any
+    socket: Any
+    _flush_some: Any
+    _flush_exception: Any
+    #: True once the client has sent a byte.
+    was_used = False
+    #: True once what the client sends is dropped.
+    is_refused = False
+    #: time.monotonic() until which a refused client may read its answer, or 0.
+    _lingers_until = 0.0
+    #: What came behind as many requests as may wait.
+    _unparsed = b''
+
+    def __init__(self, *arguments: Any, **options: Any) -> None:
+        """Create a channel for a connection that was just accepted."""
+        super().__init__(*arguments, **options)
+        self.holding = Holding(self._refuse_crowded)
+        #: time.monotonic() of the last byte in or out.
+        self.last_used = time.monotonic()
+
+    def received(self, content: bytes) -> bool:
+        """Parse what came; return False if it is dropped."""
+        if self.is_refused:
+            return False
+        with self.requests_lock:
+            if self.will_close or self.close_when_flushed:
+                return False
+            victims = self._parse(self._unparsed + content)
+        for victim in victims:
+            victim.refuse()
+        return True
+
+    def handle_read(self) -> None:
+        """Read, or drop what follows a refusal."""
+        self.last_used = time.monotonic()
+        self.was_used = True
+        super().handle_read()
+
+    def handle_write(self) -> None:
+        """Send output that waits; let a refused client read its answer."""
+        unsent = self.total_outbufs_len
+        if self.is_refused and self.close_when_flushed and self.connected:
+            self._flush_exception(self._flush_some)
+            if not self.total_outbufs_len:
+                self._linger()
+        if not self._lingers_until:
+            super().handle_write()
+        elif self.will_close:
+            self.handle_close()
+        if self.total_outbufs_len < unsent:
+            self.last_used = time.monotonic()
+
+    def handle_close(self) -> None:
+        """Close the connection and forget its unfinished request."""
+        super().handle_close()
+        self.server.intake.end(self.holding)
+
+    def readable(self) -> bool:
+        """Return True if there may be input from a connected client."""
+        if self._lingers_until:
+            if time.monotonic() > self._lingers_until:
+                self.will_close = True
+            return bool(self.connected and not self.will_close)
+        if self._unparsed and not self._is_full():
+            self.received(b'')
+        return bool(
+            self.connected and not self._unparsed and super().readable()
+        )
+
+    def writable(self) -> bool:
+        """Return True if there is output, or the connection must be closed."""
+        if not self.connected and not self.requests:
+            self.will_close = True
+        return bool(super().writable())
+
+    def service(self) -> None:
+        """Serve the first queued request."""
+        super().service()
+        self.last_used = time.monotonic()
+
+    def cancel(self) -> None:
+        """Give up all requests."""
+        for request in tuple(self.requests):
+            request.close()
+        super().cancel()
+
+    def has_requests(self) -> bool:
+        """Return True while a request is received or served."""
+        return bool(self.requests) or self.request is not None
+
+    def has_output(self) -> bool:
+        """Return True while the client has not read all output."""
+        return bool(self.connected and self.total_outbufs_len > 0)
+
+    def refuse(self, error: CourseError) -> None:
+        """Refuse the unfinished request once those before it are served."""
+        with self.requests_lock:
+            request = self.request
+            if request is None:
+                return
+            request.refuse(error)
+            self._queue(request)
+        self.server.intake.end(self.holding)
+        self.server.refusals.add(error.code)
+
+    def check_progress(self, now: float, head_seconds: float) -> None:
+        """Refuse a request whose head or body doesn't arrive."""
+        request = self.request
+        if request is None or self.is_refused:
+            return
+        if now - self.last_used > BODY_SILENCE_SECONDS or (
+            not request.headers_finished
+            and now - self.holding.began > head_seconds
+        ):
+            self.refuse(SlowRequestError('the request did not arrive in time'))
+
+    def _parse(self, content: bytes) -> list[Holding]:
+        victims: list[Holding] = []
+        while content and not self._is_full() and not self.is_refused:
+            if self.request is None:
+                self.request = self.parser_class(self.adj)
+            request = self.request
+            content = content[request.received(content) :]
+            if (
+                request.expect_continue
+                and request.headers_finished
+                and not self.requests
+                and not self.sent_continue
+            ):
+                self.send_continue()
+            if request.completed:
+                victims += self._complete(request)
+        self._unparsed = b'' if self.is_refused else content
+        if self.request is not None:
+            victims += self.server.intake.receive(
+                self.holding, self.request.measure(), time.monotonic()
+            )
+        return victims
+
+    def _complete(self, request: Any) -> list[Holding]:
+        """Queue a whole request, or refuse it for want of memory."""
+        victims: list[Holding] = []
+        intake = self.server.intake
+        intake.end(self.holding)
+        self.sent_continue = False
+        if request.empty:
+            self.request = None
+            return victims
+        if not request.error:
+            size = request.measure()
+            if request.body_rcv is not None:
+                size += len(request.body_rcv) * (BODY_COPIES - 1)
+            is_kept, victims = intake.keep(size, time.monotonic())
+            if is_kept:
+                request.kept = size
+                request.free = intake.free
+            else:
+                request.refuse(CrowdedError('too many requests are read'))
+        if request.error:
+            self.server.refusals.add(_find_code(request.error))
+        self._queue(request)
+        return victims
+
+    def _queue(self, request: Any) -> None:
+        self.request = None
+        self.is_refused = bool(request.error)
+        self.requests.append(request)
+        if len(self.requests) == 1:
+            self.server.add_task(self)
+
+    def _refuse_crowded(self) -> None:
+        self.refuse(CrowdedError('unfinished requests hold the memory'))
+
+    def _is_full(self) -> bool:
+        return len(self.requests) > self.adj.channel_request_lookahead
+
+    def _linger(self) -> None:
+        """Close the sending side only: a reset could lose the answer."""
+        self._lingers_until = time.monotonic() + LINGER_SECONDS
+        self.close_when_flushed = False
+        try:
+            self.socket.shutdown(socket.SHUT_WR)
+        except OSError:
+            self.will_close = True
+
+
+class ChannelCare:
+    """What all channels of a server share, and their regular checks."""
+
+    def __init__(self, intake: Intake) -> None:
+        """Create it for the memory that the channels share."""
+        self.intake = intake
+        self.refusals = RefusalLog()
+        #: Time in which the head of a request must arrive.
+        self.head_seconds = HEAD_SECONDS
+
+    def check(self, channels: tuple[Any, ...]) -> None:
+        """End requests that don't arrive and answers that nobody reads."""
+        now = time.monotonic()
+        for channel in channels:
+            channel.check_progress(now, self.head_seconds)
+        unread = {
+            channel: channel.total_outbufs_len
+            for channel in channels
+            if channel.has_output()
+        }
+        excess = self.intake.note_unread(sum(unread.values()))
+        for channel in sorted(unread, key=unread.__getitem__, reverse=True):
+            if excess <= 0:
+                break
+            # One that is served goes on: its caller may yet read.
+            is_stalled = now - channel.last_used > UNREAD_SECONDS
+            if is_stalled and not channel.requests:
+                excess -= unread[channel]
+                channel.will_close = True
+                self.refusals.add('unread_answer')
+        self.refusals.write()
+
+
+def _find_code(error: Any) -> str:
+    """Return a short reason of an error of waitress or a refusal."""
+    if isinstance(error, Refusal):
+        return error.error.code
+    return str(error.code)
--- a/src/toucancourse/web/server.py
+++ b/src/toucancourse/web/server.py
@@ -4,10 +4,16 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple
 
-from waitress.server import create_server
+from waitress.server import BaseWSGIServer, create_server
 
+from .channels import BoundedChannel, ChannelCare
+from .intake import Intake, IntakeLimits
 from .writers import MAX_UNSENT_BYTES
 
+#: Bytes that all requests of a server may hold together: a number of the
+#: largest bodies, and a least number.
+HELD_BODIES: Final = 4
+MIN_HELD_BYTES: Final = 4_194_304
 Application = Callable[..., Iterable[bytes]]
 
 MAX_HEADER_BYTES: Final = 32768
@@ -52,6 +58,8 @@
             clear_untrusted_proxy_headers=True,
             backlog=1024,
         )
+        for listener in _list_listeners(self._server):
+            _bound_channels(listener, limits)
         self._thread = threading.Thread(
             target=self._run, name=f'http {addresses[0]}', daemon=True
         )
@@ -76,3 +84,26 @@
     """Return True if the caller has closed its connection."""
     check = environ.get('waitress.client_disconnected')
     return bool(check and check())
+
+
+def _list_listeners(server: Any) -> list[Any]:
+    """Return the listeners of a server with one or several addresses."""
+    sockets = getattr(server, 'map', None) or server._map
+    return [one for one in sockets.values() if isinstance(one, BaseWSGIServer)]
+
+
+def _bound_channels(listener: Any, limits: ServerLimits) -> None:
+    """Let the channels of a listener share a bounded memory."""
+    held_bytes = max(MIN_HELD_BYTES, limits.max_body_bytes * HELD_BODIES)
+    unfinished = limits.threads + MAX_QUEUED_CONNECTIONS // 2
+    care = ChannelCare(Intake(IntakeLimits(held_bytes, unfinished)))
+    listener.channel_class = BoundedChannel
+    listener.intake = care.intake
+    listener.refusals = care.refusals
+    maintain = listener.maintenance
+
+    def check(now: float) -> None:
+        maintain(now)
+        care.check(tuple(listener.active_channels.values()))
+
+    listener.maintenance = check
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -37,6 +37,8 @@
 ORDINARY_DESCRIPTORS: Final = 4200
 #: Connections of the crowd.
 CROWD: Final = 32
+#: Connections of a crowd that needs no memory; the entry takes 100.
+MANY: Final = 130
 #: Largest legal body, and what is sent by those that stop at no limit.
 BODY_BYTES: Final = 4_194_304
 ENDLESS_BYTES: Final = 8 * BODY_BYTES
@@ -269,6 +271,32 @@
         yield b'1'
 
 
+class HeadClient(Client):
+    """Begins a head on more connections than the entry takes at once."""
+
+    crowd = MANY
+
+    def make_length_line(self) -> str:
+        """Return a header of no meaning."""
+        return 'X-Other: 1'
+
+    def make_head(self) -> bytes:
+        """Return a head without its end."""
+        return super().make_head()[:-1]
+
+    def make_pieces(self) -> Iterator[bytes]:
+        """Yield nothing."""
+        yield from ()
+
+
+class SilentClient(HeadClient):
+    """Connects and sends nothing."""
+
+    def make_head(self) -> bytes:
+        """Return nothing."""
+        return b''
+
+
 @pytest.fixture
 def entry(tmp_path: Path) -> Iterator[Entry]:
     """Return an entry that is ready."""
@@ -312,6 +340,8 @@
             WholeClient,
             PiecesClient,
             ManyHeadersClient,
+            HeadClient,
+            SilentClient,
         ],
     )
     def test_entry_bears_it(self, entry: Entry, kind: type[Client]) -> None:
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -1,5 +1,6 @@
 """Callers' connections: what is answered, announced and closed."""
 
+import contextlib
 import socket
 import threading
 import time
@@ -11,10 +12,19 @@
 from standins.calls import find_port, wait_until
 from toucancourse.forwarding.messages import RawRequest
 from toucancourse.forwarding.responses import ResponseWriter
-from toucancourse.ingress.server import IngressLimits, IngressServer
+from toucancourse.ingress.server import (
+    DEFAULT_HELD_BYTES,
+    IngressLimits,
+    IngressServer,
+)
 
 TIMEOUT_SECONDS = 5.0
 LIMITS = IngressLimits(100, 10, 65_536, 65_536)
+#: The head of a request but for its length.
+HEAD = b'POST /plain HTTP/1.1\r\nHost: a\r\n'
+CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+#: What leaves room for less than two of the largest bodies.
+HELD_BYTES = DEFAULT_HELD_BYTES * 3 // 4 - 100_000
 LAST_CHUNK = b'0\r\n\r\n'
 
 
@@ -72,6 +82,11 @@
             )
         )
 
+    def send_raw(self, content: bytes) -> None:
+        """Send bytes; ignore that the server takes no more."""
+        with contextlib.suppress(OSError):
+            self._sock.sendall(content)
+
     def read_head(self) -> bytes:
         """Return the next head, or what came of it before the end."""
         head = b''
@@ -248,3 +263,112 @@
             assert b'200 OK' in caller.read_head()
             caller.close()
         first.close()
+
+
+class TestUnfinishedRequests:
+    """Requests that don't end, or that need more memory than there is."""
+
+    def test_body_over_the_limit_is_refused_at_its_head(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(HEAD + b'Content-Length: 65537\r\n\r\n')
+        assert b' 413 ' in caller.read_head()
+        caller.close()
+
+    # Guards against a reset in place of the answer.
+    def test_caller_that_still_sends_reads_its_refusal(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(HEAD + b'Content-Length: 999999\r\n\r\n')
+        for _ in range(20):
+            caller.send_raw(b'b' * 8192)
+            time.sleep(0.01)
+        assert b' 413 ' in caller.read_head()
+        caller.close()
+
+    def test_framing_of_chunks_does_not_count(self, ingress: Ingress) -> None:
+        caller = ingress.connect()
+        chunks = b'1\r\nb\r\n' * LIMITS.max_body_bytes
+        caller.send_raw(HEAD + CHUNKED + chunks + LAST_CHUNK)
+        assert b'200 OK' in caller.read_head()
+        caller.close()
+
+    def test_one_byte_over_in_chunks_is_refused(self, ingress: Ingress) -> None:
+        caller = ingress.connect()
+        chunks = b'1\r\nb\r\n' * (LIMITS.max_body_bytes + 1)
+        caller.send_raw(HEAD + CHUNKED + chunks)
+        assert b' 413 ' in caller.read_head()
+        caller.close()
+
+    @pytest.mark.parametrize('line', [b'1;' + b'a' * 9000, b'0' * 9000])
+    def test_endless_line_of_a_chunk_is_refused(
+        self, ingress: Ingress, line: bytes
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(HEAD + CHUNKED + line)
+        assert b' 400 ' in caller.read_head()
+        caller.close()
+
+    def test_unfinished_body_is_refused_for_another(
+        self, ingress: Ingress, lines: list[dict[str, Any]]
+    ) -> None:
+        ingress.server.intake.keep(HELD_BYTES, 0)
+        callers = [ingress.connect() for _ in range(2)]
+        for caller in callers:
+            caller.send_raw(HEAD + b'Content-Length: 65536\r\n\r\n')
+            caller.send_raw(b'b' * 65535)
+            time.sleep(0.2)
+        heads = callers[0].read_head()
+        assert b' 503 ' in heads
+        assert b'Connection: close' in heads
+        assert any(line.get('why') == 'crowded' for line in lines)
+        for caller in callers:
+            caller.close()
+
+    def test_request_in_service_is_never_refused(
+        self, ingress: Ingress
+    ) -> None:
+        first = ingress.connect()
+        first.send('/stream')
+        first.read_head()
+        first.send_raw(HEAD + CHUNKED + b'1')
+        time.sleep(0.1)
+        for channel in tuple(ingress.server.active_channels.values()):
+            channel.holding.refuse()
+        ingress.end_streams()
+        first.read_stream_end()
+        assert b' 503 ' in first.read_head()
+        first.close()
+
+    def test_head_that_does_not_end_is_refused(self, ingress: Ingress) -> None:
+        ingress.server.care.head_seconds = 0.1
+        caller = ingress.connect()
+        caller.send_raw(HEAD)
+        assert b' 408 ' in caller.read_head()
+        caller.close()
+
+    def test_many_requests_at_once_are_served_in_turn(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send(*['/plain'] * 300)
+        for _ in range(300):
+            assert b'200 OK' in caller.read_head()
+            caller.read_body()
+        caller.close()
+
+    def test_nothing_is_held_in_the_end(self, ingress: Ingress) -> None:
+        callers = [ingress.connect() for _ in range(5)]
+        for caller in callers:
+            caller.send('/plain', '/stream')
+            caller.send_raw(HEAD + CHUNKED + b'5\r\nb')
+        time.sleep(0.1)
+        ingress.end_streams()
+        for caller in callers:
+            caller.close()
+        wait_until(
+            lambda: not ingress.server.intake.used, TIMEOUT_SECONDS, 'release'
+        )
+        assert not ingress.server.intake.count_unfinished()
