--- a/src/toucancourse/ingress/channels.py
+++ b/src/toucancourse/ingress/channels.py
@@ -1,5 +1,6 @@
 """Waitress channels, tasks and parsers for callers' connections."""
 
+import functools
 import time
 from collections.abc import Callable
 from http import HTTPStatus
@@ -20,6 +21,9 @@
 CLOSE: Final = 'close'
 #: Bytes of a body that are passed to waitress at once.
 WRITE_BYTES: Final = 65_536
+#: Header names that are kept in both forms, and the longest of these.
+CACHED_NAMES: Final = 512
+CACHED_NAME_LENGTH: Final = 64
 
 
 class StrictParser(BoundedParser):
@@ -52,6 +56,18 @@
             )
 
 
+@functools.lru_cache(maxsize=CACHED_NAMES)
+def _restore_short_name(name: str) -> str:
+    return name.replace('_', '-').title()
+
+
+def _restore_name(name: str) -> str:
+    """Return a header's name as it is sent, of the form in which it is kept."""
+    if len(name) <= CACHED_NAME_LENGTH:
+        return _restore_short_name(name)
+    return name.replace('_', '-').title()
+
+
 class ChannelResponseWriter(ResponseWriter):
     """Writes a response to a waitress channel."""
 
@@ -157,7 +173,7 @@
     def _read_request(self) -> RawRequest:
         request = self.request
         headers = tuple(
-            (name.replace('_', '-').title(), text)
+            (_restore_name(name), text)
             for name, text in request.headers.items()
         )
         target = request.request_uri
--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -88,6 +88,8 @@
 
         The framing of chunks is no part of it, unless there is little else.
         """
+        if not self.chunked:
+            return self._wire_bytes
         content = len(self.body_rcv) if self.body_rcv else 0
         return max(content, self._wire_bytes // FRAMING_FACTOR)
 
@@ -99,10 +101,9 @@
     def measure(self) -> int:
         """Return the memory that the request holds, in bytes."""
         size = REQUEST_BYTES + HEADER_BYTES * len(self.headers)
-        body = self.body_rcv
-        if body is None:
+        if not self.headers_finished:
             return size + len(self.header_plus)
-        return size + self.header_bytes_received + len(body)
+        return size + self.header_bytes_received + self.body_bytes_received
 
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the header."""
@@ -197,8 +198,8 @@
             if time.monotonic() > self._lingers_until:
                 self.will_close = True
             return bool(self.connected and not self.will_close)
-        if self._unparsed and not self._is_full():
-            self.received(b'')
+        if self._unparsed:
+            self._resume()
         return bool(
             self.connected and not self._unparsed and super().readable()
         )
@@ -252,15 +253,18 @@
 
     def _parse(self, content: bytes) -> list[Holding]:
         victims: list[Holding] = []
-        while content and not self._is_full() and not self.is_refused:
-            if self.request is None:
-                self.request = self.parser_class(self.adj)
+        requests = self.requests
+        most = self.adj.channel_request_lookahead
+        while content and len(requests) <= most and not self.is_refused:
             request = self.request
+            if request is None:
+                request = self.parser_class(self.adj)
+                self.request = request
             content = content[request.received(content) :]
             if (
                 request.expect_continue
                 and request.headers_finished
-                and not self.requests
+                and not requests
                 and not self.sent_continue
             ):
                 self.send_continue()
@@ -269,7 +273,7 @@
         self._unparsed = b'' if self.is_refused else content
         if self.request is not None:
             victims += self.server.intake.receive(
-                self.holding, self.request.measure(), time.monotonic()
+                self.holding, self.request.measure(), self.last_used
             )
         return victims
 
@@ -277,7 +281,8 @@
         """Queue a whole request, or refuse it for want of memory."""
         victims: list[Holding] = []
         intake = self.server.intake
-        intake.end(self.holding)
+        if self.holding.is_unfinished:
+            intake.end(self.holding)
         self.sent_continue = False
         if request.empty:
             self.request = None
@@ -285,8 +290,8 @@
         if not request.error:
             size = request.measure()
             if request.body_rcv is not None:
-                size += len(request.body_rcv) * (BODY_COPIES - 1)
-            is_kept, victims = intake.keep(size, time.monotonic())
+                size += request.body_bytes_received * (BODY_COPIES - 1)
+            is_kept, victims = intake.keep(size, self.last_used)
             if is_kept:
                 request.kept = size
                 request.free = intake.free
@@ -307,8 +312,10 @@
     def _refuse_crowded(self) -> None:
         self.refuse(CrowdedError('unfinished requests hold the memory'))
 
-    def _is_full(self) -> bool:
-        return len(self.requests) > self.adj.channel_request_lookahead
+    def _resume(self) -> None:
+        """Parse what came behind requests that are served by now."""
+        if len(self.requests) <= self.adj.channel_request_lookahead:
+            self.received(b'')
 
     def _linger(self) -> None:
         """Close the sending side only: a reset could lose the answer."""
--- a/src/toucancourse/web/intake.py
+++ b/src/toucancourse/web/intake.py
@@ -36,6 +36,8 @@
     def __init__(self, refuse: Callable[[], None]) -> None:
         """Create it with the function that refuses the request."""
         self.refuse = refuse
+        #: True from its first byte until it is whole, refused or gone.
+        self.is_unfinished = False
         #: Bytes of memory.
         self.size = 0
         #: time.monotonic() of the request's first byte.
@@ -47,6 +49,7 @@
 
     def begin(self, now: float) -> None:
         """Begin a request at a time of time.monotonic()."""
+        self.is_unfinished = True
         self.size = 0
         self.began = now
         self._grown_at = now
@@ -99,7 +102,7 @@
         The request itself may be among them.
         """
         with self._lock:
-            if holding not in self._unfinished:
+            if not holding.is_unfinished:
                 holding.begin(now)
                 self._unfinished.add(holding)
             self._count(holding.size, -1)
@@ -118,12 +121,15 @@
         Returns if it is kept, and whom to refuse. free() ends it.
         """
         is_large = size > ORDINARY_BYTES
+        refused: list[Holding] = []
         with self._lock:
-            refused = self._make_room(size, now, is_large=is_large)
-            is_kept = not self._is_over(size, is_large=is_large)
-            if is_kept:
+            is_over = self._is_over(size, is_large=is_large)
+            if is_over:
+                refused = self._make_room(size, now, is_large=is_large)
+                is_over = self._is_over(size, is_large=is_large)
+            if not is_over:
                 self._count(size, 1)
-            return is_kept, refused
+        return not is_over, refused
 
     def free(self, size: int) -> None:
         """Free what a whole request held."""
@@ -149,10 +155,11 @@
             self._large_used += sign * size
 
     def _forget(self, holding: Holding) -> None:
-        if holding in self._unfinished:
+        if holding.is_unfinished:
             self._unfinished.remove(holding)
             self._count(holding.size, -1)
             holding.size = 0
+            holding.is_unfinished = False
 
     def _is_over(self, extra: int, *, is_large: bool) -> bool:
         """Return True if some more bytes would be over the capacity.
