--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -158,6 +158,7 @@
                 settings.get_integer(SECTION, 'threads'),
                 max_body_bytes,
                 settings.get_integer(SECTION, 'idle_caller_seconds'),
+                settings.get_integer(SECTION, 'request_memory_bytes'),
             ),
         )
         self._changes = ChangeSubmitter(
--- a/src/toucancourse/settings/schema.py
+++ b/src/toucancourse/settings/schema.py
@@ -135,6 +135,7 @@
         ),
         'threads': integer_option(64, 4, 4000),
         'max_body_bytes': integer_option(4 * MIB, 1024, 256 * MIB),
+        'request_memory_bytes': integer_option(256 * MIB, MIB, 64 * 1024 * MIB),
         'max_peers': integer_option(64, 1, 4000),
         'idle_caller_seconds': integer_option(20, 1, 3600),
         'request_seconds': number_option(120, 0.1, 3600),
--- a/src/toucancourse/web/server.py
+++ b/src/toucancourse/web/server.py
@@ -10,10 +10,8 @@
 from .intake import Intake, IntakeLimits
 from .writers import MAX_UNSENT_BYTES
 
-#: Bytes that all requests of a server may hold together: a number of the
-#: largest bodies, and a least number.
+#: The largest bodies that all requests of a server may hold at least.
 HELD_BODIES: Final = 4
-MIN_HELD_BYTES: Final = 4_194_304
 Application = Callable[..., Iterable[bytes]]
 
 MAX_HEADER_BYTES: Final = 32768
@@ -22,11 +20,16 @@
 
 
 class ServerLimits(NamedTuple):
-    """Limits of one server; idle connections are closed after idle_seconds."""
+    """Limits of one server; idle connections are closed after idle_seconds.
+
+    held_bytes is the memory of all requests on each address; it is at least
+    that of a few of the largest bodies.
+    """
 
     threads: int
     max_body_bytes: int
     idle_seconds: int
+    held_bytes: int = 4_194_304
 
 
 class Server:
@@ -94,7 +97,7 @@
 
 def _bound_channels(listener: Any, limits: ServerLimits) -> None:
     """Let the channels of a listener share a bounded memory."""
-    held_bytes = max(MIN_HELD_BYTES, limits.max_body_bytes * HELD_BODIES)
+    held_bytes = max(limits.held_bytes, limits.max_body_bytes * HELD_BODIES)
     unfinished = limits.threads + MAX_QUEUED_CONNECTIONS // 2
     care = ChannelCare(Intake(IntakeLimits(held_bytes, unfinished)))
     listener.channel_class = BoundedChannel
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -9,6 +9,7 @@
 import itertools
 import os
 import socket
+import subprocess
 import sys
 import threading
 from abc import ABC, abstractmethod
@@ -27,11 +28,17 @@
 from standins.operator_config import HOST, KEY, make_operator_config
 from standins.replica import Replica
 
+from .fleet import SmallFleet
+
 #: Limits in the entry's settings; both are the bounds of the tests.
 MEMORY_MB: Final = 128
 DESCRIPTORS: Final = 200
 KILOBYTES_PER_MB: Final = 1024
 BYTES_PER_MB: Final = 1_048_576
+#: The same at the interface that is the product's own: the setting, and the
+#: bound of the growth.
+OWN_MEMORY_BYTES: Final = 16_777_216
+OWN_GROWTH_MB: Final = 64
 #: Limits of an entry in calm.
 SMALLEST_MEMORY_MB: Final = 160
 ORDINARY_DESCRIPTORS: Final = 4200
@@ -62,6 +69,58 @@
 _hosts = itertools.count(2)
 
 
+class ProcessView:
+    """Memory and descriptors of a process."""
+
+    def __init__(self, process: 'subprocess.Popen[bytes] | None') -> None:
+        """Look at a process that was started."""
+        assert process is not None
+        self._folder = Path(f'/proc/{process.pid}')
+
+    def read_peak_mb(self) -> float:
+        """Return the largest memory that the process ever had, in MB."""
+        status = (self._folder / 'status').read_text()
+        line = next(x for x in status.splitlines() if x.startswith('VmHWM'))
+        return int(line.split()[1]) / KILOBYTES_PER_MB
+
+    def count_descriptors(self) -> int:
+        """Return the number of open descriptors of the process."""
+        return len(list((self._folder / 'fd').iterdir()))
+
+
+class CrowdTarget:
+    """An address of a process that a crowd is set on."""
+
+    def __init__(self, host: str, port: int, process: ProcessView) -> None:
+        """Name the address and its process."""
+        self.host = host
+        self.port = port
+        self.process = process
+
+    def connect(self) -> socket.socket:
+        """Return a new connection of a caller."""
+        return socket.create_connection((self.host, self.port), SEND_SECONDS)
+
+    def count_unread_mb(self) -> float:
+        """Return how much callers sent that the process hasn't read, in MB."""
+        local = ipaddress.IPv4Address(self.host).packed[::-1].hex().upper()
+        local = f'{local}:{self.port:04X}'
+        rows = Path('/proc/net/tcp').read_text().splitlines()[1:]
+        fields = [row.split() for row in rows]
+        return sum(
+            int(queues.split(':')[1], 16) / BYTES_PER_MB
+            for _, address, _, state, queues, *_ in fields
+            if address == local and state != LISTENING
+        )
+
+    def wait_read(self) -> None:
+        """Wait until the process has read what it reads."""
+        with contextlib.suppress(TimeoutError):
+            wait_until(
+                lambda: not self.count_unread_mb(), READ_SECONDS, 'reads'
+            )
+
+
 class Entry:
     """An entry with little memory, its store and one endpoint."""
 
@@ -95,6 +154,9 @@
         self.node = Node('entry-1', command, folder / 'entry.log')
         self.node.start()
         wait_until(self.is_ready, START_SECONDS, 'readiness')
+        self.target = CrowdTarget(
+            self.host, self.port, ProcessView(self.node.process)
+        )
 
     def is_ready(self) -> bool:
         """Return True if the readiness probe succeeds."""
@@ -104,10 +166,6 @@
         except (OSError, HTTPException):
             return False
 
-    def connect(self) -> socket.socket:
-        """Return a new connection of a caller."""
-        return socket.create_connection((self.host, self.port), SEND_SECONDS)
-
     def send_ordinary(self, path: str = '/look/x') -> Response:
         """Return the response to an ordinary request."""
         headers = {
@@ -119,38 +177,12 @@
         address = f'{self.host}:{self.port}'
         return call(address, 'POST', path, {}, headers, ANSWER_SECONDS)
 
-    def read_peak_mb(self) -> float:
-        """Return the largest memory that the process ever had, in MB."""
-        status = (self._find_folder() / 'status').read_text()
-        line = next(x for x in status.splitlines() if x.startswith('VmHWM'))
-        return int(line.split()[1]) / KILOBYTES_PER_MB
-
-    def count_unread_mb(self) -> float:
-        """Return how much callers sent that the process hasn't read, in MB."""
-        local = ipaddress.IPv4Address(self.host).packed[::-1].hex().upper()
-        local = f'{local}:{self.port:04X}'
-        rows = Path('/proc/net/tcp').read_text().splitlines()[1:]
-        fields = [row.split() for row in rows]
-        return sum(
-            int(queues.split(':')[1], 16) / BYTES_PER_MB
-            for _, address, _, state, queues, *_ in fields
-            if address == local and state != LISTENING
-        )
-
-    def count_descriptors(self) -> int:
-        """Return the number of open descriptors of the process."""
-        return len(list((self._find_folder() / 'fd').iterdir()))
-
     def close(self) -> None:
         """Stop the entry, the store and the endpoint."""
         self.node.kill()
         self.store.close()
         self.replica.close()
 
-    def _find_folder(self) -> Path:
-        assert self.node.process is not None
-        return Path(f'/proc/{self.node.process.pid}')
-
 
 class Client(ABC):
     """Sends one request that never ends and keeps its connection."""
@@ -158,9 +190,9 @@
     #: Connections of a crowd of them.
     crowd = CROWD
 
-    def __init__(self, entry: Entry) -> None:
+    def __init__(self, target: CrowdTarget) -> None:
         """Connect; run() sends."""
-        self.sock = entry.connect()
+        self.sock = target.connect()
 
     def run(self) -> None:
         """Send until the request's last byte, or the entry takes no more."""
@@ -314,9 +346,9 @@
 
 
 @contextlib.contextmanager
-def send_crowd(entry: Entry, kind: type[Client]) -> Iterator[None]:
+def send_crowd(target: CrowdTarget, kind: type[Client]) -> Iterator[None]:
     """Let a crowd send at once; its connections stay open meanwhile."""
-    clients = [kind(entry) for _ in range(kind.crowd)]
+    clients = [kind(target) for _ in range(kind.crowd)]
     threads = [threading.Thread(target=client.run) for client in clients]
     for thread in threads:
         thread.start()
@@ -345,14 +377,12 @@
         ],
     )
     def test_entry_bears_it(self, entry: Entry, kind: type[Client]) -> None:
-        with send_crowd(entry, kind):
-            with contextlib.suppress(TimeoutError):
-                wait_until(
-                    lambda: not entry.count_unread_mb(), READ_SECONDS, 'reads'
-                )
+        process = entry.target.process
+        with send_crowd(entry.target, kind):
+            entry.target.wait_read()
             answer = entry.send_ordinary()
-            descriptors = entry.count_descriptors()
-            peak_mb = entry.read_peak_mb() + entry.count_unread_mb()
+            descriptors = process.count_descriptors()
+            peak_mb = process.read_peak_mb() + entry.target.count_unread_mb()
         print(f'{kind.__name__}: {peak_mb:.0f} MB, {descriptors} descriptors')
         assert entry.node.is_running()
         assert answer.status == 200
@@ -375,13 +405,13 @@
         assert statuses == {200}
 
     def _send_largest(self, calm: Entry, line: str) -> bytes:
-        with calm.connect() as sock:
+        with calm.target.connect() as sock:
             sock.settimeout(ANSWER_SECONDS)
             if line == 'Content-Length':
-                client: Client = WholeClient(calm)
+                client: Client = WholeClient(calm.target)
                 body = b'b' * BODY_BYTES
             else:
-                client = ChunkedClient(calm)
+                client = ChunkedClient(calm.target)
                 chunk = b'%x\r\n%b\r\n' % (
                     LARGE_CHUNK_BYTES,
                     b'b' * LARGE_CHUNK_BYTES,
@@ -390,3 +420,28 @@
             client.sock.close()
             sock.sendall(client.make_head() + body)
             return sock.recv(LARGE_CHUNK_BYTES).partition(b'\r\n')[0]
+
+
+class TestOwnInterface:
+    """The same crowds at the interface that is the product's own."""
+
+    @pytest.mark.parametrize(
+        'kind', [ChunkedClient, SmallChunksClient, EndlessClient, WholeClient]
+    )
+    def test_entry_bears_it(self, kind: type[Client]) -> None:
+        overrides = {'entry': {'request_memory_bytes': OWN_MEMORY_BYTES}}
+        with SmallFleet(('e1',), **overrides) as fleet:
+            daemon = fleet.daemons['e1']
+            process = ProcessView(daemon.process)
+            host, _, port = daemon.caller_address.rpartition(':')
+            target = CrowdTarget(host, int(port), process)
+            before_mb = process.read_peak_mb()
+            with send_crowd(target, kind):
+                target.wait_read()
+                answer = fleet.chat(timeout=ANSWER_SECONDS)
+                peak_mb = process.read_peak_mb() + target.count_unread_mb()
+                assert process.count_descriptors() < DESCRIPTORS
+            assert daemon.is_running()
+        print(f'{kind.__name__}: {peak_mb - before_mb:.0f} MB more')
+        assert answer.status == 200
+        assert peak_mb - before_mb < OWN_GROWTH_MB
