--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -19,7 +19,7 @@
 from ..forwarding.messages import RawRequest
 from ..forwarding.responses import ResponseWriter
 from ..web.channels import ChannelCare
-from ..web.intake import Intake, IntakeLimits
+from ..web.intake import IntakeLimits
 from .channels import IngressChannel
 
 #: Interval between checks for idle connections.
@@ -116,13 +116,9 @@
         self.is_closed = False
         self.idle_seconds = 60.0
         self._free_from = int(limits.connections * OPEN_SHARE)
+        unfinished = max(1, int(limits.connections * UNFINISHED_SHARE))
         self.care = ChannelCare(
-            Intake(
-                IntakeLimits(
-                    limits.held_bytes,
-                    max(1, int(limits.connections * UNFINISHED_SHARE)),
-                )
-            )
+            IntakeLimits(limits.held_bytes, unfinished), address
         )
         self.intake = self.care.intake
         self.refusals = self.care.refusals
--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -15,8 +15,8 @@
 from waitress.utilities import BadRequest
 
 from ..errors import CourseError, CrowdedError, SlowRequestError
-from .intake import Holding, Intake
-from .refusals import Refusal, RefusalLog
+from .intake import Holding, Intake, IntakeLimits
+from .refusals import HELD, Refusal, RefusalLog
 
 #: Memory of a request besides its headers and body.
 REQUEST_BYTES: Final = 2048
@@ -37,7 +37,7 @@
 #: Time for a client to read its refusal.
 LINGER_SECONDS: Final = 1.0
 #: Time in which a client that reads its answer has read some of it.
-UNREAD_SECONDS: Final = 5.0
+UNREAD_SECONDS: Final = 2.0
 
 
 class BoundedChunks(ChunkedReceiver):
@@ -113,12 +113,12 @@
 
     def refuse(self, error: CourseError) -> None:
         """Drop what was received and answer with an error."""
+        self.error = Refusal(error)
+        self.completed = True
         self.close()
         self.body_rcv = None
         self.header_plus = b''
         self.headers = {}
-        self.error = Refusal(error)
-        self.completed = True
 
     def close(self) -> None:
         """Release the body."""
@@ -261,12 +261,7 @@
                 request = self.parser_class(self.adj)
                 self.request = request
             content = content[request.received(content) :]
-            if (
-                request.expect_continue
-                and request.headers_finished
-                and not requests
-                and not self.sent_continue
-            ):
+            if request.expect_continue and self._may_continue(request):
                 self.send_continue()
             if request.completed:
                 victims += self._complete(request)
@@ -277,6 +272,12 @@
             )
         return victims
 
+    def _may_continue(self, request: Any) -> bool:
+        """Return True if the client is to be told now to send the body."""
+        if request.error or not request.headers_finished:
+            return False
+        return not self.requests and not self.sent_continue
+
     def _complete(self, request: Any) -> list[Holding]:
         """Queue a whole request, or refuse it for want of memory."""
         victims: list[Holding] = []
@@ -330,9 +331,10 @@
 class ChannelCare:
     """What all channels of a server share, and their regular checks."""
 
-    def __init__(self, intake: Intake) -> None:
-        """Create it for the memory that the channels share."""
-        self.intake = intake
+    def __init__(self, limits: IntakeLimits, address: str) -> None:
+        """Create it for the memory that the channels of an address share."""
+        self.intake = Intake(limits)
+        self._held = HELD.labels(address)
         self.refusals = RefusalLog()
         #: Time in which the head of a request must arrive.
         self.head_seconds = HEAD_SECONDS
@@ -358,6 +360,7 @@
                 channel.will_close = True
                 self.refusals.add('unread_answer')
         self.refusals.write()
+        self._held.set(self.intake.used)
 
 
 def _find_code(error: Any) -> str:
--- a/src/toucancourse/web/refusals.py
+++ b/src/toucancourse/web/refusals.py
@@ -6,7 +6,7 @@
 from typing import Any, Final
 
 from loguru import logger
-from prometheus_client import Counter
+from prometheus_client import Counter, Gauge
 from waitress.utilities import Error
 
 from ..errors import CourseError
@@ -20,6 +20,11 @@
     'Connections refused or closed before a whole request was served',
     ('why',),
 )
+HELD: Final = Gauge(
+    'toucancourse_intake_held_bytes',
+    'Memory that requests hold until they are answered, by address',
+    ('address',),
+)
 
 
 class Refusal(Error):
--- a/src/toucancourse/web/server.py
+++ b/src/toucancourse/web/server.py
@@ -7,7 +7,7 @@
 from waitress.server import BaseWSGIServer, create_server
 
 from .channels import BoundedChannel, ChannelCare
-from .intake import Intake, IntakeLimits
+from .intake import IntakeLimits
 from .writers import MAX_UNSENT_BYTES
 
 #: The largest bodies that all requests of a server may hold at least.
@@ -99,7 +99,8 @@
     """Let the channels of a listener share a bounded memory."""
     held_bytes = max(limits.held_bytes, limits.max_body_bytes * HELD_BODIES)
     unfinished = limits.threads + MAX_QUEUED_CONNECTIONS // 2
-    care = ChannelCare(Intake(IntakeLimits(held_bytes, unfinished)))
+    address = f'{listener.effective_host}:{listener.effective_port}'
+    care = ChannelCare(IntakeLimits(held_bytes, unfinished), address)
     listener.channel_class = BoundedChannel
     listener.intake = care.intake
     listener.refusals = care.refusals
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -270,6 +270,14 @@
         yield b'b' * (self.announced_bytes - 1)
 
 
+class CompleteClient(WholeClient):
+    """Sends a legal body with its last byte."""
+
+    def make_pieces(self) -> Iterator[bytes]:
+        """Yield the body at once."""
+        yield b'b' * self.announced_bytes
+
+
 class PiecesClient(WholeClient):
     """The same piece by piece."""
 
@@ -371,6 +379,7 @@
             EndlessClient,
             WholeClient,
             PiecesClient,
+            CompleteClient,
             ManyHeadersClient,
             HeadClient,
             SilentClient,
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -276,6 +276,17 @@
         assert b' 413 ' in caller.read_head()
         caller.close()
 
+    # Guards against an invitation to send the body all the same.
+    def test_expected_body_over_the_limit_is_refused(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(
+            HEAD + b'Expect: 100-continue\r\nContent-Length: 65537\r\n\r\n'
+        )
+        assert b' 413 ' in caller.read_head()
+        caller.close()
+
     # Guards against a reset in place of the answer.
     def test_caller_that_still_sends_reads_its_refusal(
         self, ingress: Ingress
