--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -26,6 +26,10 @@
 BODY_COPIES: Final = 2
 #: Bytes of framing that count as one byte of a body.
 FRAMING_FACTOR: Final = 8
+#: Framing for each byte of a body above which its chunks are very small, and
+#: bytes of such a body that are read at once, so that others have their turn.
+MAX_FRAMING_SHARE: Final = 0.1
+FRAGMENT_BYTES: Final = 1024
 #: Longest line of a chunk's size, and longest trailer.
 MAX_LINE_BYTES: Final = 8192
 #: Bytes that are decoded at once.
@@ -105,6 +109,11 @@
             return size + len(self.header_plus)
         return size + self.header_bytes_received + self.body_bytes_received
 
+    def is_fragmented(self) -> bool:
+        """Return True if chunks are so small that decoding them is dear."""
+        content = self.body_bytes_received
+        return self._wire_bytes - content > content * MAX_FRAMING_SHARE
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the header."""
         super().parse_header(header_plus)
@@ -167,6 +176,13 @@
             victim.refuse()
         return True
 
+    def recv(self, size: int) -> bytes:
+        """Return what came, of very small chunks only some."""
+        request = self.request
+        if request is not None and request.chunked and request.is_fragmented():
+            size = FRAGMENT_BYTES
+        return bytes(super().recv(size))
+
     def handle_read(self) -> None:
         """Read, or drop what follows a refusal."""
         self.last_used = time.monotonic()
