--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -66,6 +66,8 @@
 READ_SECONDS: Final = 20
 #: State of a listening socket in /proc/net/tcp.
 LISTENING: Final = '0A'
+#: Other runs on the machine use other addresses, as the metrics port is fixed.
+NETWORK: Final = f'127.{os.getpid() // 250 % 250 + 1}.{os.getpid() % 250 + 1}'
 _hosts = itertools.count(2)
 
 
@@ -135,7 +137,7 @@
         self.replica = Replica('i-1')
         self.store.put('keyed.op', 'config', make_operator_config())
         self.store.put('keyed.servers', 'i-1', self.replica.record())
-        self.host = f'127.0.7.{next(_hosts)}'
+        self.host = f'{NETWORK}.{next(_hosts)}'
         self.port, self.ready_port = find_port(), find_port()
         boot = BootSettings(
             'entry-1',
