--- a/src/toucancourse/web/server.py
+++ b/src/toucancourse/web/server.py
@@ -4,10 +4,14 @@
 from collections.abc import Callable, Iterable
 from typing import Any, Final, NamedTuple
 
-from waitress.server import create_server
+from waitress.server import BaseWSGIServer, create_server
 
+from .channels import BoundedChannel, ChannelCare
+from .intake import IntakeLimits
 from .writers import MAX_UNSENT_BYTES
 
+#: The largest bodies that all requests of a server may hold at least.
+HELD_BODIES: Final = 4
 Application = Callable[..., Iterable[bytes]]
 
 MAX_HEADER_BYTES: Final = 32768
@@ -16,11 +20,16 @@
 
 
 class ServerLimits(NamedTuple):
-    """Limits of one server; idle connections are closed after idle_seconds."""
+    """Limits of one server; idle connections are closed after idle_seconds.
+
+    held_bytes is the memory of all requests on each address; it is at least
+    that of a few of the largest bodies.
+    """
 
     threads: int
     max_body_bytes: int
     idle_seconds: int
+    held_bytes: int = 4_194_304
 
 
 class Server:
@@ -52,6 +61,8 @@
             clear_untrusted_proxy_headers=True,
             backlog=1024,
         )
+        for listener in _list_listeners(self._server):
+            _bound_channels(listener, limits)
         self._thread = threading.Thread(
             target=self._run, name=f'http {addresses[0]}', daemon=True
         )
@@ -76,3 +87,27 @@
     """Return True if the caller has closed its connection."""
     check = environ.get('waitress.client_disconnected')
     return bool(check and check())
+
+
+def _list_listeners(server: Any) -> list[Any]:
+    """Return the listeners of a server with one or several addresses."""
+    sockets = getattr(server, 'map', None) or server._map
+    return [one for one in sockets.values() if isinstance(one, BaseWSGIServer)]
+
+
+def _bound_channels(listener: Any, limits: ServerLimits) -> None:
+    """Let the channels of a listener share a bounded memory."""
+    held_bytes = max(limits.held_bytes, limits.max_body_bytes * HELD_BODIES)
+    unfinished = limits.threads + MAX_QUEUED_CONNECTIONS // 2
+    address = f'{listener.effective_host}:{listener.effective_port}'
+    care = ChannelCare(IntakeLimits(held_bytes, unfinished), address)
+    listener.channel_class = BoundedChannel
+    listener.intake = care.intake
+    listener.refusals = care.refusals
+    maintain = listener.maintenance
+
+    def check(now: float) -> None:
+        maintain(now)
+        care.check(tuple(listener.active_channels.values()))
+
+    listener.maintenance = check
