--- a/src/toucancourse/forwarding/slowness.py
+++ b/src/toucancourse/forwarding/slowness.py
@@ -21,6 +21,9 @@
 _DECAY_PER_SECOND: Final = math.log(2) / HALF_LIFE_SECONDS
 #: Weight below which reports of other entries are forgotten, in samples.
 MIN_WEIGHT: Final = 0.01
+#: Pause between two different reports of an endpoint, in seconds: each one
+#: takes processor time at all other entries.
+REPORT_SECONDS: Final = 1.0
 #: Digits of a reported ratio.
 REPORTED_DIGITS: Final = 2
 #: Slowness from which an endpoint is logged as slow, and below which as usual.
@@ -83,6 +86,8 @@
         self._lock = threading.Lock()
         self.total = NO_SUM
         self._is_slow = False
+        self._reported = NO_SLOWNESS
+        self._reported_at = 0.0
 
     def observe(self, ratio: float) -> None:
         """Add a sample: seen over usual seconds, above 0."""
@@ -107,13 +112,21 @@
             return self._is_slow
 
     def snapshot(self) -> Slowness:
-        """Return what other entries are told; it changes with samples only."""
+        """Return what other entries are told.
+
+        It changes with samples only, and at most once a second from the first
+        one on.
+        """
+        now = time.monotonic()
+        if self._reported.samples and now - self._reported_at < REPORT_SECONDS:
+            return self._reported
         total = self.total
         samples = round(total.weight)
-        if not samples:
-            return NO_SLOWNESS
-        ratio = math.exp(total.log_sum / total.weight)
-        return Slowness(round(ratio, REPORTED_DIGITS), samples)
+        if samples:
+            ratio = math.exp(total.log_sum / total.weight)
+            self._reported = Slowness(round(ratio, REPORTED_DIGITS), samples)
+            self._reported_at = now
+        return self._reported
 
 
 class _Report(NamedTuple):
--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -349,3 +349,14 @@
         first = slowness.snapshot()
         clock.now += 1
         assert slowness.snapshot() == first == Slowness(2.0, 1)
+
+    def test_reports_of_a_burst_are_rare(self, clock: Clock) -> None:
+        """A hundred responses a second at one endpoint."""
+        slowness = EndpointSlowness()
+        reported = set()
+        for _ in range(300):
+            slowness.observe(2)
+            reported.add(slowness.snapshot())
+            clock.now += 0.01
+        assert len(reported) == 3
+        assert slowness.snapshot().samples > 100
