--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -1,4 +1,4 @@
-"""Forwards a request to endpoints, with retries and model escalation."""
+"""Forwards a request to endpoints, with retries."""
 
 import time
 from functools import partial
@@ -21,20 +21,15 @@
 from .admission import (
     AdmittedRequest,
     EndpointChoice,
-    NoEndpointError,
     check_deadline,
 )
 from .attempts import Attempt, AttemptProgress, AttemptRecorder
 from .connections import ConnectionLostError, NotSentError, SilentError
 from .context import RelayContext
+from .escalation import Escalation, EscalationLimits
 from .events import EventSplitter
 from .messages import RawRequest
-from .models import (
-    LargerModelNeeds,
-    ModelCascade,
-    find_required_confidence,
-    list_models,
-)
+from .models import ModelCascade, list_models
 from .objects import AttemptOptions, Call, ResponseHead, RouteKind
 from .patience import (
     find_event_patience,
@@ -107,6 +102,7 @@
         self._recorder = AttemptRecorder(context)
         self._admitted: AdmittedRequest | None = None
         self._models = ModelCascade(())
+        self._escalation = Escalation(context, call)
         #: Identifiers of endpoints that were selected before.
         self._tried: set[str] = set()
         #: Versions that failed before any of their response was forwarded.
@@ -528,69 +524,29 @@
     def _escalate(self, attempt: Attempt, head: ResponseHead) -> bool:
         """Discard the response if a larger model is worth asking.
 
-        Returns True if it was discarded; the next attempt asks that model.
+        Returns True if it was discarded; the next attempt asks that model,
+        maybe at the endpoint of the newest attempt.
         """
-        if not self._models.may_escalate(head.confidence):
-            return False
-        larger_choice = self._choose_for_larger_model()
-        if larger_choice is None or self._is_confident_enough(
-            head, larger_choice
-        ):
-            return False
-        if not self._retries.spend():
+        assert self._admitted is not None
+        if self._executions >= self._admitted.route.max_executions:
             return False
-        logger.info(
-            'response discarded',
-            call=self._call.identifier,
-            model=attempt.model,
-            confidence=head.confidence,
-            predicted=round(larger_choice.scored.score, 3),
-            stream_seconds=round(larger_choice.scored.stream_seconds, 3),
+        larger_choice = self._escalation.choose(
+            self._admitted,
+            self._models,
+            head.confidence,
+            EscalationLimits(
+                self._cutoff, self._tried - {self._last_endpoint}, self._failed
+            ),
         )
-        self._context.metrics.discarded.inc()
+        if larger_choice is None or not self._retries.spend():
+            return False
+        self._escalation.record(attempt.model, head.confidence, larger_choice)
         self._recorder.record_success(self._call, attempt)
         attempt.exchange.close()
         self._models = self._models.escalate()
         self._next_choice = larger_choice
         return True
 
-    def _is_confident_enough(
-        self, head: ResponseHead, larger_choice: EndpointChoice
-    ) -> bool:
-        """Return True if the confidence suffices in the time that remains."""
-        assert self._admitted is not None
-        route = self._admitted.route
-        model = self._models.escalate().current
-        mean_seconds = self._context.metrics.find_mean_seconds(
-            (route.name, model)
-        )
-        now = time.monotonic()
-        needs = LargerModelNeeds(
-            max(mean_seconds, larger_choice.scored.score),
-            larger_choice.scored.stream_seconds,
-            self._call.received + route.objective - now,
-            self._cutoff - now,
-        )
-        required = find_required_confidence(needs)
-        return head.confidence is None or head.confidence >= required
-
-    def _choose_for_larger_model(self) -> EndpointChoice | None:
-        """Return an endpoint for the larger model, or None if none is usable.
-
-        The endpoint of the newest attempt may be selected again.
-        """
-        assert self._admitted is not None
-        if self._executions >= self._admitted.route.max_executions:
-            return None
-        tried = self._tried - {self._last_endpoint}
-        larger_model = self._models.escalate().current
-        try:
-            return self._context.admission.choose(
-                self._call, self._admitted, larger_model, tried, self._failed
-            )
-        except NoEndpointError:
-            return None
-
     def _write_events(
         self, attempt: Attempt, head: ResponseHead, content: bytes
     ) -> None:
