--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -277,8 +277,15 @@
             return
         self._context.connections.close_idle(record)
         if not has_started:
-            # The time until the timeout counts as a response time, so that
-            # the mean and later timeouts grow when endpoints slow down.
-            self._context.metrics.record_seconds(
-                (attempt.route.name, attempt.model), seconds
-            )
+            self.record_wait(attempt)
+
+    def record_wait(self, attempt: Attempt) -> None:
+        """Record the wait for an endpoint that has not begun to respond.
+
+        It counts as a response time, so that the mean and later timeouts grow
+        when endpoints slow down.
+        """
+        self._context.metrics.record_seconds(
+            (attempt.route.name, attempt.model),
+            time.monotonic() - attempt.started_at,
+        )
--- a/src/toucancourse/forwarding/escalation.py
+++ b/src/toucancourse/forwarding/escalation.py
@@ -9,6 +9,7 @@
 from .admission import AdmittedRequest, EndpointChoice, NoEndpointError
 from .context import RelayContext
 from .models import (
+    MIN_CONFIDENCE,
     LargerModelNeeds,
     ModelCascade,
     find_required_confidence,
@@ -27,6 +28,19 @@
     failed: Collection[str]
 
 
+class LargerModel(NamedTuple):
+    """The larger model that is asked, and the answer that it replaces."""
+
+    choice: EndpointChoice
+    needs: LargerModelNeeds
+    #: Confidence of the smaller model in [0, 1].
+    confidence: float
+
+    def is_uncertain(self) -> bool:
+        """Return True if the larger model may not answer in time."""
+        return find_required_confidence(self.needs) < MIN_CONFIDENCE
+
+
 class Escalation:
     """Selects endpoints for the larger model of one request."""
 
@@ -41,13 +55,13 @@
         models: ModelCascade,
         confidence: float | None,
         limits: EscalationLimits,
-    ) -> EndpointChoice | None:
-        """Return an endpoint for the larger model.
+    ) -> LargerModel | None:
+        """Return the larger model with an endpoint.
 
         Returns None if the smaller model's answer, of a confidence in [0, 1],
         is good enough in the time that remains, or no endpoint is usable.
         """
-        if not models.may_escalate(confidence):
+        if confidence is None or not models.may_escalate(confidence):
             return None
         larger_model = models.escalate().current
         try:
@@ -57,22 +71,21 @@
         except NoEndpointError:
             return None
         needs = self._find_needs(admitted, larger_model, choice, limits.cutoff)
-        required = find_required_confidence(needs)
-        if confidence is None or confidence >= required:
+        if confidence >= find_required_confidence(needs):
             return None
-        return choice
+        return LargerModel(choice, needs, confidence)
 
-    def record(
-        self, model: str, confidence: float | None, choice: EndpointChoice
-    ) -> None:
-        """Log and count that a model's answer is not forwarded."""
+    def record(self, model: str, larger: LargerModel) -> None:
+        """Log and count that a model's answer is not forwarded yet."""
+        scored = larger.choice.scored
         logger.info(
             'response discarded',
             call=self._call.identifier,
             model=model,
-            confidence=confidence,
-            predicted=round(choice.scored.score, 3),
-            stream_seconds=round(choice.scored.stream_seconds, 3),
+            confidence=larger.confidence,
+            predicted=round(scored.score, 3),
+            stream_seconds=round(scored.stream_seconds, 3),
+            is_kept=larger.is_uncertain(),
         )
         self._context.metrics.discarded.inc()
 
--- a/src/toucancourse/forwarding/metrics.py
+++ b/src/toucancourse/forwarding/metrics.py
@@ -51,6 +51,11 @@
             'Answers of a smaller model that were not good enough',
             registry=registry,
         )
+        self.kept = Counter(
+            'toucancourse_kept_answers',
+            'Answers of a smaller model forwarded after a larger one failed',
+            registry=registry,
+        )
         self.duration = Histogram(
             'toucancourse_forwarded_seconds',
             'Time to the end of an answer',
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -24,10 +24,17 @@
     check_deadline,
 )
 from .attempts import Attempt, AttemptProgress, AttemptRecorder
+from .backlog import InFlightRequest
 from .connections import ConnectionLostError, NotSentError, SilentError
 from .context import RelayContext
 from .escalation import Escalation, EscalationLimits
 from .events import EventSplitter
+from .keeping import (
+    KeptResponse,
+    ResponseKeeper,
+    end_attempt,
+    find_wait_seconds,
+)
 from .messages import RawRequest
 from .models import ModelCascade, list_models
 from .objects import AttemptOptions, Call, ResponseHead, RouteKind
@@ -36,6 +43,7 @@
     find_head_patience,
     find_read_end,
 )
+from .requestlogs import RequestResult, log_attempt, log_result
 from .responses import CallerGoneError, ResponseWriter
 from .retries import RetryAllowance
 
@@ -79,11 +87,11 @@
         try:
             request.run()
         except CourseError as error:
-            request.log_result(error.code, error)
+            request.log_result(error)
             raise
         finally:
             response.watch_disconnect(None)
-        request.log_result('ok', None)
+        request.log_result(None)
 
 
 class ForwardedRequest:
@@ -126,6 +134,8 @@
         self._stream_model = ''
         #: Endpoint of the next attempt, if it is selected already.
         self._next_choice: EndpointChoice | None = None
+        #: Has a smaller model's response while a larger model is asked.
+        self._keeper = ResponseKeeper(context, call)
         #: Endpoint that takes over from a silent one; its retry is paid for.
         self._successor: EndpointChoice | None = None
         self._retries = RetryAllowance(context)
@@ -137,6 +147,12 @@
         """
         admitted = self._admit()
         self._models = list_models(admitted.route, self._call)
+        try:
+            self._run_attempts()
+        finally:
+            self._keeper.drop()
+
+    def _run_attempts(self) -> None:
         while True:
             try:
                 if self._run_attempt():
@@ -144,30 +160,19 @@
             except CallerGoneError:
                 raise
             except CourseError as error:
-                if not self._may_retry(error):
+                if self._may_retry(error):
+                    continue
+                self._successor = None
+                self._next_choice = None
+                if not self._keeper.take_over(error):
                     self._fail(error)
 
-    def log_result(self, code: str, error: CourseError | None) -> None:
+    def log_result(self, error: CourseError | None) -> None:
         """Log the request's result and update the metrics."""
-        route = self._admitted.route.name if self._admitted else ''
-        seconds = time.monotonic() - self._call.received
-        self._context.metrics.record_request(
-            route, code, seconds, self._first_event
-        )
-        logger.info(
-            'request ended',
-            call=self._call.identifier,
-            route=route,
-            account=self._admitted.account.name if self._admitted else '',
-            code=code,
-            status=self._status or getattr(error, 'status', 0),
-            why=getattr(error, 'text', ''),
-            sends=self._attempts,
-            runs=self._executions,
-            seconds=round(seconds, 4),
-            first=self._first_event,
-            proof_age=round(self._context.find_proof_age(), 2),
+        result = RequestResult(
+            self._status, self._attempts, self._executions, self._first_event
         )
+        log_result(self._context, self._call, self._admitted, result, error)
 
     def _admit(self) -> AdmittedRequest:
         self._context.startup.wait(self._call.deadline - MIN_REMAINING_SECONDS)
@@ -200,6 +205,9 @@
         admitted = self._refresh_route()
         if self._response.is_disconnected():
             raise CallerGoneError('the caller closed its connection')
+        due = self._keeper.due
+        if due is not None:
+            return self._complete(due.attempt, due.in_flight)
         model = self._stream_model or self._models.current
         choice = self._successor or self._select_endpoint(
             admitted, model, self._failed
@@ -210,21 +218,27 @@
         in_flight_request = choice.endpoint.backlog.add_request(
             choice.rank, choice.scored.prefill_seconds
         )
+        return self._complete(attempt, in_flight_request)
+
+    def _complete(self, attempt: Attempt, in_flight: InFlightRequest) -> bool:
+        """Send the request, unless it was, and forward the response.
+
+        Returns True if the caller was answered.
+        """
         self._response.watch_disconnect(attempt.exchange.cancel)
         try:
             if self._response.is_disconnected():
                 raise CallerGoneError('the caller closed its connection')
-            head = self._send_attempt(attempt)
-            in_flight_request.finish_prefill()
-            return self._forward_response(attempt, head)
+            head = attempt.exchange.head or self._send_attempt(attempt)
+            in_flight.finish_prefill()
+            return self._forward_response(attempt, head, in_flight)
         except CourseError as error:
             if self._response.is_disconnected():
                 raise CallerGoneError('the caller disconnected') from error
             self._record_failure(attempt, error)
             raise
         finally:
-            in_flight_request.finish()
-            self._finish_attempt(attempt)
+            self._finish_attempt(attempt, in_flight)
 
     def _select_endpoint(
         self, admitted: AdmittedRequest, model: str, failed: set[str]
@@ -278,14 +292,17 @@
             raise UnavailableError('no retry is left')
         return choice
 
-    def _finish_attempt(self, attempt: Attempt) -> None:
-        """Record the end of an attempt and release its connection."""
+    def _finish_attempt(
+        self, attempt: Attempt, in_flight: InFlightRequest
+    ) -> None:
+        """Record the end of an attempt unless its response is kept."""
         self._response.watch_disconnect(None)
+        if self._keeper.holds(attempt):
+            return
+        self._keeper.due = None
         if self._status:
             self._recorder.record_end(self._call, attempt)
-        self._context.connections.return_connection(
-            attempt.choice.endpoint.record, attempt.exchange
-        )
+        end_attempt(self._context, attempt, in_flight)
 
     def _start_attempt(
         self,
@@ -315,21 +332,7 @@
             rank=choice.rank,
             last_event=self._last_event,
         )
-        logger.debug(
-            'request sent',
-            call=self._call.identifier,
-            session=self._call.session,
-            endpoint=record.identifier,
-            version=record.version,
-            model=model,
-            rank=choice.rank,
-            number=self._attempts,
-            running=endpoint.backlog.running,
-            others=round(endpoint.backlog.estimate_peer_requests(), 1),
-            fresh_tokens=choice.scored.uncached_tokens,
-            predicted=round(choice.scored.score, 3),
-            stream_seconds=round(choice.scored.stream_seconds, 3),
-        )
+        log_attempt(self._call, choice, model, self._attempts)
         try:
             exchange = self._context.connections.open(record, self._call)
         except NotSentError:
@@ -365,7 +368,8 @@
                 attempt.choice.scored.score,
             )
         started_at = time.monotonic()
-        until = self._cutoff
+        cutoff = self._keeper.find_wait_end(self._cutoff)
+        until = cutoff
         if patience is not None:
             until = min(until, started_at + patience.busy)
         reservation = attempt.choice.scored.reservation
@@ -379,10 +383,10 @@
         attempt.wait_for_data(
             patience,
             started_at,
-            self._cutoff,
+            cutoff,
             partial(self._find_successor, attempt),
         )
-        head = exchange.read_head(find_read_end(patience, self._cutoff))
+        head = exchange.read_head(find_read_end(patience, cutoff))
         endpoint = attempt.choice.endpoint
         endpoint.record_progress()
         if head.is_leaving:
@@ -416,7 +420,9 @@
             and self._attempts < MAX_ATTEMPTS
         )
 
-    def _forward_response(self, attempt: Attempt, head: ResponseHead) -> bool:
+    def _forward_response(
+        self, attempt: Attempt, head: ResponseHead, in_flight: InFlightRequest
+    ) -> bool:
         """Forward the response; return False if it was discarded."""
         assert self._admitted is not None
         route = self._admitted.route
@@ -428,6 +434,10 @@
         if not is_success:
             return self._forward_failure(attempt, head)
         if route.kind is RouteKind.stream and head.is_event_stream:
+            if not self._has_started and self._escalate(
+                attempt, head, in_flight
+            ):
+                return False
             return self._forward_stream(attempt, head)
         if self._has_started:
             raise EndpointError('the stream was resumed without a stream')
@@ -461,8 +471,6 @@
         return True
 
     def _forward_stream(self, attempt: Attempt, head: ResponseHead) -> bool:
-        if not self._has_started and self._escalate(attempt, head):
-            return False
         assert self._admitted is not None
         event_splitter = EventSplitter()
         exchange = attempt.exchange
@@ -477,7 +485,7 @@
             attempt.wait_for_data(
                 patience,
                 progressed_at,
-                self._cutoff,
+                self._keeper.find_wait_end(self._cutoff),
                 partial(self._find_successor, attempt),
             )
             if not event_splitter.count_buffered():
@@ -490,10 +498,11 @@
             if events.content:
                 exchange.check_events(events.content)
                 now = time.monotonic()
-                if self._has_started:
+                if self._has_started and not self._keeper.due:
                     endpoint.pace.observe(events.number, now - progressed_at)
                 progressed_at = now
-                if attempt.progress.add_events(events.number, now):
+                is_measured = attempt.progress.add_events(events.number, now)
+                if is_measured and not self._keeper.due:
                     self._recorder.record_pace(attempt)
                 self._recorder.record_survival(
                     self._call, attempt, is_complete=False
@@ -521,16 +530,18 @@
         self._response.finish()
         return True
 
-    def _escalate(self, attempt: Attempt, head: ResponseHead) -> bool:
-        """Discard the response if a larger model is worth asking.
+    def _escalate(
+        self, attempt: Attempt, head: ResponseHead, in_flight: InFlightRequest
+    ) -> bool:
+        """Discard or keep the response if a larger model is worth asking.
 
-        Returns True if it was discarded; the next attempt asks that model,
-        maybe at the endpoint of the newest attempt.
+        Returns True if so; the next attempt asks that model, maybe at the
+        endpoint of the newest attempt.
         """
         assert self._admitted is not None
         if self._executions >= self._admitted.route.max_executions:
             return False
-        larger_choice = self._escalation.choose(
+        larger = self._escalation.choose(
             self._admitted,
             self._models,
             head.confidence,
@@ -538,13 +549,17 @@
                 self._cutoff, self._tried - {self._last_endpoint}, self._failed
             ),
         )
-        if larger_choice is None or not self._retries.spend():
+        if larger is None or not self._retries.spend():
             return False
-        self._escalation.record(attempt.model, head.confidence, larger_choice)
+        self._escalation.record(attempt.model, larger)
         self._recorder.record_success(self._call, attempt)
-        attempt.exchange.close()
+        if larger.is_uncertain():
+            wait_seconds = find_wait_seconds(larger.needs, larger.confidence)
+            self._keeper.keep(KeptResponse(attempt, in_flight), wait_seconds)
+        else:
+            attempt.exchange.close()
         self._models = self._models.escalate()
-        self._next_choice = larger_choice
+        self._next_choice = larger.choice
         return True
 
     def _write_events(
@@ -556,7 +571,9 @@
             self._stream_model = attempt.model
             now = time.monotonic()
             self._first_event = round(now - self._call.received, 4)
-            self._recorder.record_success(self._call, attempt)
+            if not self._keeper.due:
+                self._recorder.record_success(self._call, attempt)
+                self._keeper.drop()
             self._response.begin(head.status, head.headers)
         self._response.write(content)
 
@@ -566,6 +583,8 @@
         Charges the retry budget, unless nothing was sent or the endpoint of
         the next attempt was selected before.
         """
+        if self._keeper.is_overdue():
+            return False
         if self._successor is not None:
             return True
         if not isinstance(error, _RETRYABLE):
@@ -604,6 +623,10 @@
         return remaining <= MIN_REMAINING_SECONDS
 
     def _record_failure(self, attempt: Attempt, error: CourseError) -> None:
+        if isinstance(error, SilentError) and self._keeper.is_overdue():
+            # The endpoint did not fail: it was to begin before the deadline.
+            self._recorder.record_wait(attempt)
+            return
         if error.outcome is not Outcome.not_run and not self._has_started:
             self._failed.add(attempt.choice.version)
         self._recorder.record_failure(
--- a/standins/replica.py
+++ b/standins/replica.py
@@ -190,6 +190,10 @@
         self.confidence: int | None = None
         #: Confidence by model; takes precedence over `confidence`.
         self.model_confidence: dict[str, int] = {}
+        #: Delay before the response of a model, in seconds.
+        self.model_delays: dict[str, float] = {}
+        #: Fault of each response of a model.
+        self.model_faults: dict[str, str] = {}
         #: Rejections as overloaded so far.
         self.refusals = 0
         #: True to announce in all responses that it is leaving.
@@ -263,7 +267,8 @@
             self._refuse(request, 421)
             return
         self.arrivals.add(call=headers.get('X-Attempt-Id'))
-        fault = self._next_fault()
+        model = headers.get('X-Model', '')
+        fault = self._next_fault() or self.model_faults.get(model, '')
         if fault == 'shed':
             self.refusals += 1
             self._refuse(request, 503)
@@ -293,6 +298,7 @@
         if fault == 'refuse_and_run':
             self._break_off_refusal(request)
             fault = ''
+        time.sleep(self.model_delays.get(model, 0))
         if fault in COPIES:
             request.handler.wfile.write(earlier[: self._draw_break()])
             request.handler.wfile.flush()
