--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -15,6 +15,7 @@
 from .pace import StreamLengths
 from .rollouts import Rollouts
 from .selection import EndpointSelector, ScoredEndpoint, SelectionCriteria
+from .streamtimes import StreamTimes
 from .tables import OperatorConfig
 
 #: Maximum age of the freshness proof, as a share of the time within which a
@@ -92,6 +93,7 @@
         self._rollouts = rollouts
         self._selector = selector
         self.lengths = StreamLengths()
+        self.stream_times = StreamTimes()
 
     def admit(
         self,
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -522,6 +522,8 @@
             )
         self._recorder.record_survival(self._call, attempt, is_complete=True)
         if not attempt.options.last_event:
+            if not self._keeper.due:
+                _observe_stream(self._context, attempt)
             self._context.admission.lengths.observe(
                 attempt.route.name,
                 self._call.expected_tokens,
@@ -627,6 +629,8 @@
             # The endpoint did not fail: it was to begin before the deadline.
             self._recorder.record_wait(attempt)
             return
+        if isinstance(error, SilentError) and attempt.progress.events:
+            _observe_stream(self._context, attempt)
         if error.outcome is not Outcome.not_run and not self._has_started:
             self._failed.add(attempt.choice.version)
         self._recorder.record_failure(
@@ -634,6 +638,13 @@
         )
 
 
+def _observe_stream(context: RelayContext, attempt: Attempt) -> None:
+    """Record how long a stream took until it ended or was given up."""
+    context.admission.stream_times.observe(
+        attempt.route.name, attempt.progress.find_age(time.monotonic())
+    )
+
+
 def _predict_seconds(
     context: RelayContext,
     admitted: AdmittedRequest,
