--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -190,12 +190,13 @@
             self._find_cold_rate,
             self._loads,
         )
+        self._admission = Admission(
+            self._operators, self._endpoints, self._rollouts, selector
+        )
         self._relay = Relay(
             RelayContext(
                 codec=codec,
-                admission=Admission(
-                    self._operators, self._endpoints, self._rollouts, selector
-                ),
+                admission=self._admission,
                 connections=self._connections,
                 rollouts=self._rollouts,
                 outliers=outliers,
@@ -403,9 +404,12 @@
             lambda: reporting.LocalState(
                 self._endpoints.snapshot_workloads(),
                 self._rollouts.list_baseline_sessions(),
+                accounts=self._admission.shares.report(),
             ),
             reporting.LoadServicer(
-                self._loads, self._rollouts.pin_baseline_session
+                self._loads,
+                self._rollouts.pin_baseline_session,
+                (self._admission.shares.peers,),
             ),
         )
         topicreads = importlib.import_module(
--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -11,10 +11,16 @@
 )
 from .digests import hash_text
 from .endpoints import Endpoint, EndpointRegistry
+from .fairness import AccountShares
 from .objects import Account, Call, Route
 from .pace import StreamLengths
 from .rollouts import Rollouts
-from .selection import EndpointSelector, ScoredEndpoint, SelectionCriteria
+from .selection import (
+    BASE_LATENCY_SECONDS,
+    EndpointSelector,
+    ScoredEndpoint,
+    SelectionCriteria,
+)
 from .streamtimes import StreamTimes
 from .tables import OperatorConfig
 
@@ -34,6 +40,9 @@
 #: Added to the rank of requests for the largest model.
 LARGEST_MODEL_RANK_OFFSET: Final = 3
 
+#: Added to the rank of what an account asks beyond its share.
+EXCESS_RANK_OFFSET: Final = 2
+
 
 class NoEndpointError(UnavailableError):
     """No untried endpoint can accept the request now."""
@@ -94,6 +103,7 @@
         self._selector = selector
         self.lengths = StreamLengths()
         self.stream_times = StreamTimes()
+        self.shares = AccountShares()
 
     def admit(
         self,
@@ -169,6 +179,8 @@
                 if candidate.record.version == version
             ]
         rank = admitted.find_rank(model)
+        if self.shares.yields(admitted.account.name, call.identifier):
+            rank = min(RANK_COUNT - 1, rank + EXCESS_RANK_OFFSET)
         events = self.lengths.predict(admitted.route.name, call.expected_tokens)
         criteria = SelectionCriteria(
             service, version, model, tried, rank, events
@@ -183,6 +195,13 @@
             scored, service, scored.endpoint.record.version, rank
         )
 
+    def charge(self, admitted: AdmittedRequest, choice: EndpointChoice) -> None:
+        """Charge an account for the endpoint's time that an attempt takes."""
+        scored = choice.scored
+        self.shares.charge(
+            admitted.account.name, BASE_LATENCY_SECONDS + scored.prefill_seconds
+        )
+
 
 def check_deadline(call: Call, limit: float, now: float) -> None:
     """Raise DeadlineError if now has reached a time.monotonic() limit."""
