--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -1,5 +1,6 @@
 """Admission of requests and selection of their endpoints."""
 
+import time
 from collections.abc import Callable, Collection, Sequence
 from typing import Final, NamedTuple
 
@@ -13,6 +14,7 @@
 from .endpoints import Endpoint, EndpointRegistry
 from .fairness import AccountShares
 from .objects import Account, Call, Route
+from .overload import OverloadGuard, Prospect
 from .pace import StreamLengths
 from .rollouts import Rollouts
 from .selection import (
@@ -104,6 +106,7 @@
         self.lengths = StreamLengths()
         self.stream_times = StreamTimes()
         self.shares = AccountShares()
+        self._overload = OverloadGuard()
 
     def admit(
         self,
@@ -195,6 +198,31 @@
             scored, service, scored.endpoint.record.version, rank
         )
 
+    def check_load(
+        self,
+        call: Call,
+        admitted: AdmittedRequest,
+        choice: EndpointChoice,
+        cutoff: float,
+    ) -> None:
+        """Raise OverloadError if an unsent request can't end by the cutoff.
+
+        The cutoff is a time.monotonic(). The choice has the lowest score, so
+        that the request would need longer at the other endpoints.
+        """
+        scored, route = choice.scored, admitted.route
+        stream_seconds = self.stream_times.find(route.name)
+        # That the endpoint was slow lately doesn't make the request hopeless.
+        latency = scored.latency / max(1.0, scored.endpoint.latency_ratio)
+        prospect = Prospect(
+            latency - scored.prefill_seconds - BASE_LATENCY_SECONDS,
+            latency,
+            min(stream_seconds, scored.stream_seconds),
+            cutoff - time.monotonic(),
+        )
+        yields = self.shares.yields(admitted.account.name, call.identifier)
+        self._overload.check(call, route, prospect, yields=yields)
+
     def charge(self, admitted: AdmittedRequest, choice: EndpointChoice) -> None:
         """Charge an account for the endpoint's time that an attempt takes."""
         scored = choice.scored
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -255,6 +255,10 @@
             self._call, admitted, model, self._tried, failed
         )
         self._next_choice = None
+        if not self._attempts:
+            self._context.admission.check_load(
+                self._call, admitted, choice, self._cutoff
+            )
         if not self._has_started:
             self._context.shutdown.check(
                 _predict_seconds(self._context, admitted, choice, model)
--- a/src/toucancourse/forwarding/requestlogs.py
+++ b/src/toucancourse/forwarding/requestlogs.py
@@ -41,6 +41,7 @@
         others=round(endpoint.backlog.estimate_peer_requests(), 1),
         fresh_tokens=choice.scored.uncached_tokens,
         predicted=round(choice.scored.score, 3),
+        latency=round(choice.scored.latency, 3),
         stream_seconds=round(choice.scored.stream_seconds, 3),
         left=round(call.deadline - time.monotonic(), 3),
     )
