--- a/src/toucancourse/forwarding/escalation.py
+++ b/src/toucancourse/forwarding/escalation.py
@@ -100,11 +100,10 @@
         mean_seconds = self._context.metrics.find_mean_seconds(
             (route.name, model)
         )
-        stream_seconds = self._context.admission.stream_times.find(route.name)
         now = time.monotonic()
         return LargerModelNeeds(
             max(mean_seconds, choice.scored.score),
-            max(stream_seconds, choice.scored.stream_seconds),
+            choice.scored.stream_seconds,
             self._call.received + route.objective - now,
             cutoff - now,
         )
--- a/src/toucancourse/forwarding/overload.py
+++ b/src/toucancourse/forwarding/overload.py
@@ -1,5 +1,6 @@
 """Refusal of requests that can't be answered in time at any endpoint."""
 
+import math
 import time
 from typing import Final, NamedTuple
 
@@ -16,7 +17,7 @@
 EXCESS_MARGIN: Final = 1.5
 #: Predicted wait below which an endpoint counts as free, in seconds.
 MIN_WAIT_SECONDS: Final = 0.05
-#: Pause between two requests of a route that are let through even so.
+#: Time without a request of a route after which a hopeless one is sent.
 PROBE_SECONDS: Final = 1.0
 #: Least time after which a refused caller may return, in seconds; the most is
 #: twice the time predicted.
@@ -53,26 +54,29 @@
 
     def __init__(self) -> None:
         """Create a guard that has let nothing through."""
-        #: Route -> time.monotonic() of its last request let through.
-        self._probes: dict[str, float] = {}
+        #: Route -> time.monotonic() of its last request that wasn't refused.
+        self._passed_at: dict[str, float] = {}
 
     def check(
         self, call: Call, route: Route, prospect: Prospect, *, yields: bool
     ) -> None:
         """Raise OverloadError if a request that wasn't sent is hopeless.
 
-        Each route gets one such request through from time to time. With
+        One is sent if no other request of the route was for a while. With
         `yields`, the request is beyond its account's share.
         """
         margin = EXCESS_MARGIN if yields else MARGIN
         needed = prospect.find_needed()
         if not route.timeout or not route.objective:
             return
-        if prospect.wait < MIN_WAIT_SECONDS or needed < margin * prospect.left:
-            return
         now = time.monotonic()
-        if now - self._probes.get(route.name, -PROBE_SECONDS) >= PROBE_SECONDS:
-            self._probes[route.name] = now
+        passed_at = self._passed_at.get(route.name, -math.inf)
+        is_hopeless = (
+            prospect.wait >= MIN_WAIT_SECONDS
+            and needed >= margin * prospect.left
+        )
+        if not is_hopeless or now - passed_at >= PROBE_SECONDS:
+            self._passed_at[route.name] = now
             return
         retry_after = find_retry_seconds(call, route, prospect)
         logger.info(
--- a/tests/test_overload.py
+++ b/tests/test_overload.py
@@ -95,6 +95,18 @@
             sent += not is_refused(guard, HOPELESS)
         assert 9 <= sent <= 11
 
+    def test_other_requests_of_the_route_are_enough(
+        self, guard: OverloadGuard, monkeypatch: pytest.MonkeyPatch
+    ) -> None:
+        later = time.monotonic() + 5 * PROBE_SECONDS
+
+        class Clock:
+            monotonic = staticmethod(lambda: later)
+
+        monkeypatch.setattr(overload, 'time', Clock)
+        assert not is_refused(guard, HOPELESS._replace(left=60.0))
+        assert is_refused(guard, HOPELESS)
+
     def test_routes_are_judged_apart(self, guard: OverloadGuard) -> None:
         other = ROUTE._replace(name='other')
         guard.check(make_call(), other, HOPELESS, yields=False)
