--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -190,13 +190,12 @@
             self._find_cold_rate,
             self._loads,
         )
-        self._admission = Admission(
-            self._operators, self._endpoints, self._rollouts, selector
-        )
         self._relay = Relay(
             RelayContext(
                 codec=codec,
-                admission=self._admission,
+                admission=Admission(
+                    self._operators, self._endpoints, self._rollouts, selector
+                ),
                 connections=self._connections,
                 rollouts=self._rollouts,
                 outliers=outliers,
@@ -404,12 +403,9 @@
             lambda: reporting.LocalState(
                 self._endpoints.snapshot_workloads(),
                 self._rollouts.list_baseline_sessions(),
-                accounts=self._admission.shares.report(),
             ),
             reporting.LoadServicer(
-                self._loads,
-                self._rollouts.pin_baseline_session,
-                (self._admission.shares.peers,),
+                self._loads, self._rollouts.pin_baseline_session
             ),
         )
         topicreads = importlib.import_module(
--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -12,7 +12,6 @@
 )
 from .digests import hash_text
 from .endpoints import Endpoint, EndpointRegistry
-from .fairness import AccountShares
 from .objects import Account, Call, Route
 from .overload import OverloadGuard, Prospect
 from .pace import StreamLengths
@@ -42,9 +41,6 @@
 #: Added to the rank of requests for the largest model.
 LARGEST_MODEL_RANK_OFFSET: Final = 3
 
-#: Added to the rank of what an account asks beyond its share.
-EXCESS_RANK_OFFSET: Final = 2
-
 
 class NoEndpointError(UnavailableError):
     """No untried endpoint can accept the request now."""
@@ -105,7 +101,6 @@
         self._selector = selector
         self.lengths = StreamLengths()
         self.stream_times = StreamTimes()
-        self.shares = AccountShares()
         self._overload = OverloadGuard()
 
     def admit(
@@ -182,8 +177,6 @@
                 if candidate.record.version == version
             ]
         rank = admitted.find_rank(model)
-        if self.shares.yields(admitted.account.name, call.identifier):
-            rank = min(RANK_COUNT - 1, rank + EXCESS_RANK_OFFSET)
         events = self.lengths.predict(admitted.route.name, call.expected_tokens)
         criteria = SelectionCriteria(
             service, version, model, tried, rank, events
@@ -220,15 +213,7 @@
             min(stream_seconds, scored.stream_seconds),
             cutoff - time.monotonic(),
         )
-        yields = self.shares.yields(admitted.account.name, call.identifier)
-        self._overload.check(call, route, prospect, yields=yields)
-
-    def charge(self, admitted: AdmittedRequest, choice: EndpointChoice) -> None:
-        """Charge an account for the endpoint's time that an attempt takes."""
-        scored = choice.scored
-        self.shares.charge(
-            admitted.account.name, BASE_LATENCY_SECONDS + scored.prefill_seconds
-        )
+        self._overload.check(call, route, prospect)
 
 
 def check_deadline(call: Call, limit: float, now: float) -> None:
--- a/src/toucancourse/forwarding/overload.py
+++ b/src/toucancourse/forwarding/overload.py
@@ -13,8 +13,6 @@
 #: Predicted time, as a multiple of the time left, from which a request is
 #: refused: half of all predictions are longer than what is seen then.
 MARGIN: Final = 3.0
-#: The same for what an account asks beyond its share.
-EXCESS_MARGIN: Final = 1.5
 #: Predicted wait below which an endpoint counts as free, in seconds.
 MIN_WAIT_SECONDS: Final = 0.05
 #: Time without a request of a route after which a hopeless one is sent.
@@ -57,15 +55,11 @@
         #: Route -> time.monotonic() of its last request that wasn't refused.
         self._passed_at: dict[str, float] = {}
 
-    def check(
-        self, call: Call, route: Route, prospect: Prospect, *, yields: bool
-    ) -> None:
+    def check(self, call: Call, route: Route, prospect: Prospect) -> None:
         """Raise OverloadError if a request that wasn't sent is hopeless.
 
-        One is sent if no other request of the route was for a while. With
-        `yields`, the request is beyond its account's share.
+        One is sent if no other request of the route was for a while.
         """
-        margin = EXCESS_MARGIN if yields else MARGIN
         needed = prospect.find_needed()
         if not route.timeout or not route.objective:
             return
@@ -73,7 +67,7 @@
         passed_at = self._passed_at.get(route.name, -math.inf)
         is_hopeless = (
             prospect.wait >= MIN_WAIT_SECONDS
-            and needed >= margin * prospect.left
+            and needed >= MARGIN * prospect.left
         )
         if not is_hopeless or now - passed_at >= PROBE_SECONDS:
             self._passed_at[route.name] = now
@@ -86,7 +80,6 @@
             needed=round(needed, 3),
             left=round(prospect.left, 3),
             wait=round(prospect.wait, 3),
-            is_excess=yields,
             retry_after=retry_after,
         )
         raise OverloadError(
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -218,7 +218,6 @@
         in_flight_request = choice.endpoint.backlog.add_request(
             choice.rank, choice.scored.prefill_seconds
         )
-        self._context.admission.charge(admitted, choice)
         return self._complete(attempt, in_flight_request)
 
     def _complete(self, attempt: Attempt, in_flight: InFlightRequest) -> bool:
