--- a/src/toucancourse/forwarding/admission.py
+++ b/src/toucancourse/forwarding/admission.py
@@ -1,5 +1,6 @@
 """Admission of requests and selection of their endpoints."""
 
+import time
 from collections.abc import Callable, Collection, Sequence
 from typing import Final, NamedTuple
 
@@ -12,9 +13,15 @@
 from .digests import hash_text
 from .endpoints import Endpoint, EndpointRegistry
 from .objects import Account, Call, Route
+from .overload import OverloadGuard, Prospect
 from .pace import StreamLengths
 from .rollouts import Rollouts
-from .selection import EndpointSelector, ScoredEndpoint, SelectionCriteria
+from .selection import (
+    EndpointSelector,
+    ScoredEndpoint,
+    SelectionCriteria,
+)
+from .streamtimes import StreamTimes
 from .tables import OperatorConfig
 
 #: Maximum age of the freshness proof, as a share of the time within which a
@@ -92,6 +99,8 @@
         self._rollouts = rollouts
         self._selector = selector
         self.lengths = StreamLengths()
+        self.stream_times = StreamTimes()
+        self._overload = OverloadGuard()
 
     def admit(
         self,
@@ -181,6 +190,29 @@
             scored, service, scored.endpoint.record.version, rank
         )
 
+    def check_load(
+        self,
+        call: Call,
+        admitted: AdmittedRequest,
+        choice: EndpointChoice,
+        cutoff: float,
+    ) -> None:
+        """Raise OverloadError if an unsent request can't end by the cutoff.
+
+        The cutoff is a time.monotonic(). The choice has the lowest score, so
+        that the request would need longer at the other endpoints.
+        """
+        scored, route = choice.scored, admitted.route
+        stream_seconds = self.stream_times.find(route.name)
+        prospect = Prospect(
+            scored.forecast.demand.queued_seconds,
+            # That the endpoint was slow lately doesn't make a request hopeless.
+            scored.forecast.usual_seconds,
+            min(stream_seconds, scored.stream_seconds),
+            cutoff - time.monotonic(),
+        )
+        self._overload.check(call, route, prospect)
+
 
 def check_deadline(call: Call, limit: float, now: float) -> None:
     """Raise DeadlineError if now has reached a time.monotonic() limit."""
--- a/src/toucancourse/forwarding/attempts.py
+++ b/src/toucancourse/forwarding/attempts.py
@@ -309,9 +309,16 @@
             return
         self._context.connections.close_idle(record)
         if not has_started:
-            choice.scored.forecast.record_silence(seconds)
-            # The time until the timeout counts as a response time, so that
-            # the mean and later timeouts grow when endpoints slow down.
-            self._context.metrics.record_seconds(
-                (attempt.route.name, attempt.model), seconds
-            )
+            self.record_wait(attempt)
+
+    def record_wait(self, attempt: Attempt) -> None:
+        """Record the wait for an endpoint that has not begun to respond.
+
+        It counts as a response time, so that the mean and later timeouts grow
+        when endpoints slow down.
+        """
+        seconds = time.monotonic() - attempt.started_at
+        attempt.choice.scored.forecast.record_silence(seconds)
+        self._context.metrics.record_seconds(
+            (attempt.route.name, attempt.model), seconds
+        )
