--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -30,8 +30,10 @@
 #: Time after the last byte in which the caller may still send a request on a
 #: connection of which no response announced that it closes.
 LINGER_SECONDS: Final = 0.5
-#: Stack size of a request's thread; the deepest calls need far less.
-THREAD_STACK_BYTES: Final = 262_144
+#: Stack size of all threads of the process that start later, also of gRPC's,
+#: whose C++ code and the signal handlers on top of it are not ours to bound.
+#: It is reserved; only what a thread touches takes memory.
+THREAD_STACK_BYTES: Final = 1_048_576
 
 Handler = Callable[[RawRequest, ResponseWriter], None]
 
