--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -6,6 +6,7 @@
 import time
 from collections import defaultdict
 from collections.abc import Callable
+from socket import socket
 from typing import Any, Final
 
 from loguru import logger
@@ -122,8 +123,13 @@
 class Node:
     """Creates the components of an entry and runs them."""
 
-    def __init__(self, settings: NodeSettings) -> None:
-        """Create the components and bind the addresses; start() serves."""
+    def __init__(
+        self, settings: NodeSettings, listener: socket | None = None
+    ) -> None:
+        """Create the components and bind the addresses; start() serves.
+
+        The listener listens at the callers' address already.
+        """
         self._settings = settings
         self._started_at = time.monotonic()
         decoder = PlatformDecoder()
@@ -210,7 +216,7 @@
                 shutdown=self._shutdown,
             )
         )
-        self._build_servers()
+        self._build_servers(listener)
 
     def start(self) -> None:
         """Follow the store's topics and serve callers."""
@@ -316,7 +322,7 @@
             TIMINGS[names.STATUS_TOPIC],
         )
 
-    def _build_servers(self) -> None:
+    def _build_servers(self, listener: socket | None) -> None:
         settings = self._settings
         threads = min(
             MAX_REQUEST_THREADS,
@@ -331,6 +337,7 @@
                 MAX_HEADER_BYTES,
                 MAX_BODY_BYTES,
             ),
+            listener,
         )
         health = Health(
             self._find_problem, self._describe, names.READINESS_PATH
--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -95,8 +95,9 @@
         handler: Handler,
         address: str,
         limits: IngressLimits,
+        listener: socket.socket | None = None,
     ) -> None:
-        """Bind the address; start() serves."""
+        """Bind the address unless a socket listens there; start() serves."""
         host, _, port = address.rpartition(':')
         self.handler = handler
         #: True once every response closes its connection.
@@ -122,7 +123,13 @@
             clear_untrusted_proxy_headers=False,
         )
         dispatcher: Any = PoolDispatcher(limits.threads)
-        super().__init__(_reject_wsgi, dispatcher=dispatcher, adj=adjustments)
+        super().__init__(
+            _reject_wsgi,
+            _sock=listener,
+            dispatcher=dispatcher,
+            adj=adjustments,
+            bind_socket=listener is None,
+        )
         self._thread = threading.Thread(
             target=self.run, name=f'callers {address}', daemon=True
         )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -79,6 +79,14 @@
         except (OSError, HTTPException):
             return False
 
+    def accepts(self) -> bool:
+        """Return True if callers can connect."""
+        try:
+            socket.create_connection((self.host, self.port), 2).close()
+        except OSError:
+            return False
+        return True
+
     def make_headers(
         self, deadline_ms: int = 4000, key: str = KEY
     ) -> dict[str, str]:
@@ -559,7 +567,20 @@
 
 
 class TestStart:
-    """Signals that come while the process starts."""
+    """Callers and signals that come while the process starts."""
+
+    # Guards against connections that are refused during the imports.
+    def test_caller_may_connect_before_the_entry_serves(
+        self, fleet: Fleet
+    ) -> None:
+        """A small instance whose imports take a second, after a kill."""
+        fleet.node.stop(10)
+        started = len(fleet.log.read_text())
+        fleet.node.start()
+        wait_until(fleet.accepts, 5, 'a connection')
+        assert '"started"' not in fleet.log.read_text()[started:]
+        assert fleet.send('/book/x').status == 200
+        wait_until(fleet.is_ready, 10, 'readiness')
 
     # Guards against a process that a change of its settings ends.
     def test_sighup_before_the_entry_serves_is_survived(
