--- a/src/toucancourse/daemon/main.py
+++ b/src/toucancourse/daemon/main.py
@@ -5,6 +5,7 @@
 """
 
 import argparse
+import gc
 import importlib
 import os
 import sys
@@ -50,6 +51,8 @@
     listener = None
     if isinstance(settings, NodeSettings):
         listener = listen_early(settings.callers)
+        # What imports create stays; run_node() enables it again.
+        gc.disable()
     running = importlib.import_module('.running', __package__)
     if isinstance(settings, NodeSettings):
         sys.exit(running.run_node(settings, listener))
--- a/src/toucancourse/daemon/running.py
+++ b/src/toucancourse/daemon/running.py
@@ -2,6 +2,7 @@
 
 import ctypes
 import faulthandler
+import gc
 import importlib
 import os
 import resource
@@ -87,6 +88,9 @@
         logger.error('daemon failed to start', why=repr(error))
         writer.close()
         return EXIT_START_FAILED
+    # Objects of the modules are not looked at again.
+    gc.freeze()
+    gc.enable()
     stop_requested.wait()
     node.drain()
     writer.close()
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -79,6 +79,16 @@
         except (OSError, HTTPException):
             return False
 
+    def count_collections(self) -> float:
+        """Return how often the youngest objects were looked for garbage."""
+        metrics = call(f'{self.host}:9464', 'GET', '/metrics').body.decode()
+        line = next(
+            line
+            for line in metrics.splitlines()
+            if line.startswith('python_gc_collections_total{generation="0"}')
+        )
+        return float(line.split()[1])
+
     def accepts(self) -> bool:
         """Return True if callers can connect."""
         try:
@@ -582,6 +592,17 @@
         assert fleet.send('/book/x').status == 200
         wait_until(fleet.is_ready, 10, 'readiness')
 
+    # Guards against garbage that stays since none is collected at the start.
+    def test_garbage_is_collected_once_the_entry_serves(
+        self, fleet: Fleet
+    ) -> None:
+        before = fleet.count_collections()
+        for _ in range(ENDLESS):
+            fleet.send('/book/x')
+        wait_until(
+            lambda: fleet.count_collections() > before, 10, 'a collection'
+        )
+
     # Guards against a process that a change of its settings ends.
     def test_sighup_before_the_entry_serves_is_survived(
         self, fleet: Fleet
