--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -40,8 +40,10 @@
 #: after which one is silent that never sent a byte.
 OPEN_SHARE: Final = 0.85
 SILENCE_SECONDS: Final = 2.0
-#: Stack size of a request's thread; the deepest calls need far less.
-THREAD_STACK_BYTES: Final = 262_144
+#: Stack size of all threads of the process that start later, also of gRPC's,
+#: whose C++ code and the signal handlers on top of it are not ours to bound.
+#: It is reserved; only what a thread touches takes memory.
+THREAD_STACK_BYTES: Final = 1_048_576
 
 Handler = Callable[[RawRequest, ResponseWriter], None]
 
@@ -106,8 +108,9 @@
         handler: Handler,
         address: str,
         limits: IngressLimits,
+        listener: socket.socket | None = None,
     ) -> None:
-        """Bind the address; start() serves."""
+        """Bind the address unless a socket listens there; start() serves."""
         host, _, port = address.rpartition(':')
         self.handler = handler
         #: True once every response closes its connection.
@@ -140,7 +143,13 @@
             clear_untrusted_proxy_headers=False,
         )
         dispatcher: Any = PoolDispatcher(limits.threads)
-        super().__init__(_reject_wsgi, dispatcher=dispatcher, adj=adjustments)
+        super().__init__(
+            _reject_wsgi,
+            _sock=listener,
+            dispatcher=dispatcher,
+            adj=adjustments,
+            bind_socket=listener is None,
+        )
         self._thread = threading.Thread(
             target=self.run, name=f'callers {address}', daemon=True
         )
--- a/tests/test_node.py
+++ b/tests/test_node.py
@@ -79,6 +79,24 @@
         except (OSError, HTTPException):
             return False
 
+    def count_collections(self) -> float:
+        """Return how often the youngest objects were looked for garbage."""
+        metrics = call(f'{self.host}:9464', 'GET', '/metrics').body.decode()
+        line = next(
+            line
+            for line in metrics.splitlines()
+            if line.startswith('python_gc_collections_total{generation="0"}')
+        )
+        return float(line.split()[1])
+
+    def accepts(self) -> bool:
+        """Return True if callers can connect."""
+        try:
+            socket.create_connection((self.host, self.port), 2).close()
+        except OSError:
+            return False
+        return True
+
     def make_headers(
         self, deadline_ms: int = 4000, key: str = KEY
     ) -> dict[str, str]:
@@ -559,7 +577,31 @@
 
 
 class TestStart:
-    """Signals that come while the process starts."""
+    """Callers and signals that come while the process starts."""
+
+    # Guards against connections that are refused during the imports.
+    def test_caller_may_connect_before_the_entry_serves(
+        self, fleet: Fleet
+    ) -> None:
+        """A small instance whose imports take a second, after a kill."""
+        fleet.node.stop(10)
+        started = len(fleet.log.read_text())
+        fleet.node.start()
+        wait_until(fleet.accepts, 5, 'a connection')
+        assert '"started"' not in fleet.log.read_text()[started:]
+        assert fleet.send('/book/x').status == 200
+        wait_until(fleet.is_ready, 10, 'readiness')
+
+    # Guards against garbage that stays since none is collected at the start.
+    def test_garbage_is_collected_once_the_entry_serves(
+        self, fleet: Fleet
+    ) -> None:
+        before = fleet.count_collections()
+        for _ in range(ENDLESS):
+            fleet.send('/book/x')
+        wait_until(
+            lambda: fleet.count_collections() > before, 10, 'a collection'
+        )
 
     # Guards against a process that a change of its settings ends.
     def test_sighup_before_the_entry_serves_is_survived(
