--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -114,6 +114,16 @@
         content = self.body_bytes_received
         return self._wire_bytes - content > content * MAX_FRAMING_SHARE
 
+    def received(self, content: bytes) -> int:
+        """Parse bytes; return how many were used."""
+        try:
+            return int(super().received(content))
+        except ValueError:
+            # Waitress doesn't expect lengths of thousands of digits.
+            self.error = BadRequest('the request can not be parsed')
+            self.completed = True
+            return len(content)
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the header."""
         super().parse_header(header_plus)
@@ -331,8 +341,13 @@
 
     def _resume(self) -> None:
         """Parse what came behind requests that are served by now."""
-        if len(self.requests) <= self.adj.channel_request_lookahead:
+        if len(self.requests) > self.adj.channel_request_lookahead:
+            return
+        try:
             self.received(b'')
+        except Exception:
+            # Raised out of readable(), it would end the loop of all channels.
+            self.handle_error()
 
     def _linger(self) -> None:
         """Close the sending side only: a reset could lose the answer."""
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -22,7 +22,10 @@
 LIMITS = IngressLimits(100, 10, 65_536, 65_536)
 #: The head of a request but for its length.
 HEAD = b'POST /plain HTTP/1.1\r\nHost: a\r\n'
+NO_BODY = b'Content-Length: 0\r\n\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+#: Digits of a length that Python refuses to convert.
+LENGTH_DIGITS = 5000
 #: What leaves room for less than two of the largest bodies.
 HELD_BYTES = DEFAULT_HELD_BYTES * 3 // 4 - 100_000
 LAST_CHUNK = b'0\r\n\r\n'
@@ -322,6 +325,31 @@
         assert b' 400 ' in caller.read_head()
         caller.close()
 
+    # Guards against an exception that ends the thread of all connections.
+    def test_absurd_length_behind_a_stream_is_refused(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(
+            HEAD.replace(b'plain', b'stream')
+            + NO_BODY
+            + HEAD
+            + NO_BODY
+            + HEAD
+            + b'Content-Length: %b\r\n\r\n' % (b'9' * LENGTH_DIGITS)
+        )
+        caller.read_head()
+        ingress.end_streams()
+        caller.read_stream_end()
+        assert b' 200 ' in caller.read_head()
+        caller.read_body()
+        assert b' 400 ' in caller.read_head()
+        caller.close()
+        other = ingress.connect()
+        other.send('/plain')
+        assert b' 200 ' in other.read_head()
+        other.close()
+
     def test_unfinished_body_is_refused_for_another(
         self, ingress: Ingress, lines: list[dict[str, Any]]
     ) -> None:
