--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -300,7 +300,8 @@
 
     def _may_continue(self, request: Any) -> bool:
         """Return True if the client is to be told now to send the body."""
-        if request.error or not request.headers_finished:
+        # One without a body is whole, and would wait for more for ever.
+        if request.completed or not request.headers_finished:
             return False
         return not self.requests and not self.sent_continue
 
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -290,6 +290,14 @@
         assert b' 413 ' in caller.read_head()
         caller.close()
 
+    def test_request_that_expects_no_body_is_answered(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(HEAD + b'Expect: 100-continue\r\n' + NO_BODY)
+        assert b' 200 ' in caller.read_head()
+        caller.close()
+
     # Guards against a reset in place of the answer.
     def test_caller_that_still_sends_reads_its_refusal(
         self, ingress: Ingress
