--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -142,9 +142,14 @@
     def close(self) -> None:
         """Release the body."""
         super().close()
-        if self.free is not None:
-            self.free(self.kept)
-            self.free = None
+        self.release()
+
+    def release(self) -> None:
+        """Free its bytes; later calls by any thread do nothing."""
+        # One step, unlike a look at the attribute before it is reset.
+        free = self.__dict__.pop('free', None)
+        if free is not None:
+            free(self.kept)
 
 
 class BoundedChannel(HTTPChannel):
@@ -214,8 +219,12 @@
             self.last_used = time.monotonic()
 
     def handle_close(self) -> None:
-        """Close the connection and forget its unfinished request."""
+        """Close the connection and forget requests that will not be served."""
+        # Taken before the close: one that follows gets a thread, and ends.
+        waiting = self.requests[1:]
         super().handle_close()
+        for request in waiting:
+            request.release()
         self.server.intake.end(self.holding)
 
     def readable(self) -> bool:
@@ -292,7 +301,8 @@
             if request.completed:
                 victims += self._complete(request)
         self._unparsed = b'' if self.is_refused else content
-        if self.request is not None:
+        # Telling a client to continue may have shown that it is gone.
+        if self.request is not None and self.connected:
             victims += self.server.intake.receive(
                 self.holding, self.request.measure(), self.last_used
             )
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -14,6 +14,7 @@
 from toucancourse.forwarding.responses import ResponseWriter
 from toucancourse.ingress.server import (
     DEFAULT_HELD_BYTES,
+    HIGH_WATERMARK_BYTES,
     IngressLimits,
     IngressServer,
 )
@@ -38,6 +39,7 @@
         """Serve on a free port."""
         self.port = find_port()
         self.ends = threading.Event()
+        self.is_filled = threading.Event()
         self.server = IngressServer(
             self._handle, f'127.0.0.1:{self.port}', LIMITS
         )
@@ -56,6 +58,9 @@
         self.ends.set()
 
     def _handle(self, request: RawRequest, response: ResponseWriter) -> None:
+        if request.target == '/large':
+            self._fill(response)
+            return
         if request.target != '/stream':
             response.send(200, (), b'plain')
             return
@@ -64,6 +69,19 @@
         self.ends.wait(TIMEOUT_SECONDS)
         response.finish()
 
+    def _fill(self, response: ResponseWriter) -> None:
+        """Write until a caller that doesn't read holds up the server."""
+        response.begin(200, ())
+        while self.count_unread() <= HIGH_WATERMARK_BYTES:
+            response.write(bytes(HIGH_WATERMARK_BYTES))
+            time.sleep(0.05)
+        self.is_filled.set()
+
+    def count_unread(self) -> int:
+        """Return the bytes of answers that callers haven't read."""
+        channels = tuple(self.server.active_channels.values())
+        return sum(channel.total_outbufs_len for channel in channels)
+
 
 class Caller:
     """A connection on which requests are sent and responses read."""
@@ -419,3 +437,17 @@
             lambda: not ingress.server.intake.used, TIMEOUT_SECONDS, 'release'
         )
         assert not ingress.server.intake.count_unfinished()
+
+    # Guards against a count that grows until everybody is refused.
+    def test_request_behind_an_unread_answer_is_freed(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send('/large', '/plain')
+        caller.read_head()
+        assert ingress.is_filled.wait(TIMEOUT_SECONDS)
+        time.sleep(0.2)
+        caller.close()
+        wait_until(
+            lambda: not ingress.server.intake.used, TIMEOUT_SECONDS, 'release'
+        )
