--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -114,6 +114,16 @@
         content = self.body_bytes_received
         return self._wire_bytes - content > content * MAX_FRAMING_SHARE
 
+    def received(self, content: bytes) -> int:
+        """Parse bytes; return how many were used."""
+        try:
+            return int(super().received(content))
+        except ValueError:
+            # Waitress doesn't expect lengths of thousands of digits.
+            self.error = BadRequest('the request can not be parsed')
+            self.completed = True
+            return len(content)
+
     def parse_header(self, header_plus: bytes) -> None:
         """Parse the header."""
         super().parse_header(header_plus)
@@ -132,9 +142,14 @@
     def close(self) -> None:
         """Release the body."""
         super().close()
-        if self.free is not None:
-            self.free(self.kept)
-            self.free = None
+        self.release()
+
+    def release(self) -> None:
+        """Free its bytes; later calls by any thread do nothing."""
+        # One step, unlike a look at the attribute before it is reset.
+        free = self.__dict__.pop('free', None)
+        if free is not None:
+            free(self.kept)
 
 
 class BoundedChannel(HTTPChannel):
@@ -204,8 +219,12 @@
             self.last_used = time.monotonic()
 
     def handle_close(self) -> None:
-        """Close the connection and forget its unfinished request."""
+        """Close the connection and forget requests that will not be served."""
+        # Taken before the close: one that follows gets a thread, and ends.
+        waiting = self.requests[1:]
         super().handle_close()
+        for request in waiting:
+            request.release()
         self.server.intake.end(self.holding)
 
     def readable(self) -> bool:
@@ -282,7 +301,8 @@
             if request.completed:
                 victims += self._complete(request)
         self._unparsed = b'' if self.is_refused else content
-        if self.request is not None:
+        # Telling a client to continue may have shown that it is gone.
+        if self.request is not None and self.connected:
             victims += self.server.intake.receive(
                 self.holding, self.request.measure(), self.last_used
             )
@@ -290,7 +310,8 @@
 
     def _may_continue(self, request: Any) -> bool:
         """Return True if the client is to be told now to send the body."""
-        if request.error or not request.headers_finished:
+        # One without a body is whole, and would wait for more for ever.
+        if request.completed or not request.headers_finished:
             return False
         return not self.requests and not self.sent_continue
 
@@ -331,8 +352,13 @@
 
     def _resume(self) -> None:
         """Parse what came behind requests that are served by now."""
-        if len(self.requests) <= self.adj.channel_request_lookahead:
+        if len(self.requests) > self.adj.channel_request_lookahead:
+            return
+        try:
             self.received(b'')
+        except Exception:
+            # Raised out of readable(), it would end the loop of all channels.
+            self.handle_error()
 
     def _linger(self) -> None:
         """Close the sending side only: a reset could lose the answer."""
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -14,6 +14,7 @@
 from toucancourse.forwarding.responses import ResponseWriter
 from toucancourse.ingress.server import (
     DEFAULT_HELD_BYTES,
+    HIGH_WATERMARK_BYTES,
     IngressLimits,
     IngressServer,
 )
@@ -22,7 +23,10 @@
 LIMITS = IngressLimits(100, 10, 65_536, 65_536)
 #: The head of a request but for its length.
 HEAD = b'POST /plain HTTP/1.1\r\nHost: a\r\n'
+NO_BODY = b'Content-Length: 0\r\n\r\n'
 CHUNKED = b'Transfer-Encoding: chunked\r\n\r\n'
+#: Digits of a length that Python refuses to convert.
+LENGTH_DIGITS = 5000
 #: What leaves room for less than two of the largest bodies.
 HELD_BYTES = DEFAULT_HELD_BYTES * 3 // 4 - 100_000
 LAST_CHUNK = b'0\r\n\r\n'
@@ -35,6 +39,7 @@
         """Serve on a free port."""
         self.port = find_port()
         self.ends = threading.Event()
+        self.is_filled = threading.Event()
         self.server = IngressServer(
             self._handle, f'127.0.0.1:{self.port}', LIMITS
         )
@@ -53,6 +58,9 @@
         self.ends.set()
 
     def _handle(self, request: RawRequest, response: ResponseWriter) -> None:
+        if request.target == '/large':
+            self._fill(response)
+            return
         if request.target != '/stream':
             response.send(200, (), b'plain')
             return
@@ -61,6 +69,19 @@
         self.ends.wait(TIMEOUT_SECONDS)
         response.finish()
 
+    def _fill(self, response: ResponseWriter) -> None:
+        """Write until a caller that doesn't read holds up the server."""
+        response.begin(200, ())
+        while self.count_unread() <= HIGH_WATERMARK_BYTES:
+            response.write(bytes(HIGH_WATERMARK_BYTES))
+            time.sleep(0.05)
+        self.is_filled.set()
+
+    def count_unread(self) -> int:
+        """Return the bytes of answers that callers haven't read."""
+        channels = tuple(self.server.active_channels.values())
+        return sum(channel.total_outbufs_len for channel in channels)
+
 
 class Caller:
     """A connection on which requests are sent and responses read."""
@@ -287,6 +308,14 @@
         assert b' 413 ' in caller.read_head()
         caller.close()
 
+    def test_request_that_expects_no_body_is_answered(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(HEAD + b'Expect: 100-continue\r\n' + NO_BODY)
+        assert b' 200 ' in caller.read_head()
+        caller.close()
+
     # Guards against a reset in place of the answer.
     def test_caller_that_still_sends_reads_its_refusal(
         self, ingress: Ingress
@@ -322,6 +351,31 @@
         assert b' 400 ' in caller.read_head()
         caller.close()
 
+    # Guards against an exception that ends the thread of all connections.
+    def test_absurd_length_behind_a_stream_is_refused(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send_raw(
+            HEAD.replace(b'plain', b'stream')
+            + NO_BODY
+            + HEAD
+            + NO_BODY
+            + HEAD
+            + b'Content-Length: %b\r\n\r\n' % (b'9' * LENGTH_DIGITS)
+        )
+        caller.read_head()
+        ingress.end_streams()
+        caller.read_stream_end()
+        assert b' 200 ' in caller.read_head()
+        caller.read_body()
+        assert b' 400 ' in caller.read_head()
+        caller.close()
+        other = ingress.connect()
+        other.send('/plain')
+        assert b' 200 ' in other.read_head()
+        other.close()
+
     def test_unfinished_body_is_refused_for_another(
         self, ingress: Ingress, lines: list[dict[str, Any]]
     ) -> None:
@@ -383,3 +437,17 @@
             lambda: not ingress.server.intake.used, TIMEOUT_SECONDS, 'release'
         )
         assert not ingress.server.intake.count_unfinished()
+
+    # Guards against a count that grows until everybody is refused.
+    def test_request_behind_an_unread_answer_is_freed(
+        self, ingress: Ingress
+    ) -> None:
+        caller = ingress.connect()
+        caller.send('/large', '/plain')
+        caller.read_head()
+        assert ingress.is_filled.wait(TIMEOUT_SECONDS)
+        time.sleep(0.2)
+        caller.close()
+        wait_until(
+            lambda: not ingress.server.intake.used, TIMEOUT_SECONDS, 'release'
+        )
