--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -389,6 +389,12 @@
             self._turns.count_entries() / MAX_REPORTS_PER_SECOND,
         )
 
+    def _find_pause(self, known: CanaryReport, newest: CanaryReport) -> float:
+        """Return the seconds between two reports, fewer after new failures."""
+        if newest.canary.bad > known.canary.bad:
+            return REPORT_INTERVAL_SECONDS
+        return self.find_report_interval()
+
     def _decide(self, timed: TimedOrder) -> RolloutState | None:
         order = timed.order
         progress = self._rollouts.find_progress(timed)
@@ -417,7 +423,7 @@
         now = read_clock()
         if (
             report.canary == known.canary
-            or now - reported_at < self.find_report_interval()
+            or now - reported_at < self._find_pause(known, report)
         ):
             return
         self._reported[order.service] = (report, now)
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -96,6 +96,12 @@
         return True
 
 
+#: Time in which a version is not used any more after so many failures.
+ROLLBACK_SECONDS = 5.0
+COUNTED_FAILURES = 50
+#: Longest time from the write of a report to its last reader.
+READ_SECONDS = 1.0
+STEP_SECONDS = 0.25
 ENTRY_TURNS = tuple((row, 19 - row) for row in range(20))
 
 
@@ -170,6 +176,19 @@
         return chosen.count('v2') / count
 
 
+def make_fleet(topic: Topic) -> list[Entry]:
+    """Return 68 entries that reported a good version, and know it."""
+    fleet = [
+        Entry(topic, f'entry-{row}', 68, turn=min(row, 1)) for row in range(68)
+    ]
+    for _ in range(3):
+        for entry in fleet:
+            entry.record_good('v1', 20)
+            entry.record_good('v2', 2)
+            entry.step()
+    return fleet
+
+
 @pytest.fixture
 def clock(monkeypatch: pytest.MonkeyPatch) -> Iterator[Clock]:
     """Return the clock that the modules under test read."""
@@ -313,6 +332,44 @@
         entry = Entry(SharedTopic(), entries=entries)
         assert entry.controller.find_report_interval() == seconds
 
+    # Guards against a bad version that large fleets learn of too late.
+    def test_failures_are_reported_sooner_than_good_responses(
+        self, clock: Clock
+    ) -> None:
+        topic = SharedTopic()
+        entry = Entry(topic, entries=48)
+        entry.record_good('v2', 1)
+        entry.step()
+        entry.step()
+        known = topic.appends
+        clock.now += module.REPORT_INTERVAL_SECONDS
+        entry.record_good('v2', 1)
+        entry.step()
+        assert topic.appends == known
+        entry.analysis.record_failure('v2')
+        entry.step()
+        assert topic.appends == known + 1
+        entry.analysis.record_failure('v2')
+        entry.step()
+        assert topic.appends == known + 1
+
+    def test_large_fleet_stops_using_a_version_that_turns_bad(
+        self, clock: Clock
+    ) -> None:
+        """Each of 68 entries has just reported when all requests fail."""
+        fleet = make_fleet(SharedTopic())
+        failures, failed_at = 0, float('inf')
+        while any(not entry.analysis.is_bad('v2') for entry in fleet):
+            clock.now += STEP_SECONDS
+            for entry in fleet[failures % 68 :][:8]:
+                entry.analysis.record_failure('v2')
+                failures += 1
+            if failures >= COUNTED_FAILURES:
+                failed_at = min(failed_at, clock.now)
+            for entry in fleet:
+                entry.step()
+            assert clock.now - failed_at < ROLLBACK_SECONDS - READ_SECONDS
+
     def test_one_entry_publishes_what_all_know(self, clock: Clock) -> None:
         """Each of 20 entries sees a new order at the same moment."""
         topic = SharedTopic()
