--- a/src/toucancourse/forwarding/reporting.py
+++ b/src/toucancourse/forwarding/reporting.py
@@ -116,9 +116,10 @@
         self.newest = _Snapshot(0, LocalState({}, {}), peer_pb2.LoadReport())
 
     def run(self) -> None:
-        """Collect the state again and again, until stopped."""
+        """Collect the state again and again while there are streams."""
         while not self._stopped.wait(self.find_interval()):
-            self.collect()
+            if self._count_peers():
+                self._try_to_collect()
 
     def stop(self) -> None:
         """Make run() return."""
@@ -142,6 +143,12 @@
             )
             self._changed.notify_all()
 
+    def _try_to_collect(self) -> None:
+        try:
+            self.collect()
+        except Exception:  # noqa: BLE001 - streams would send the old state
+            logger.exception('states not collected')
+
     def wait_for_change(self, number: int, timeout: float) -> _Snapshot:
         """Return the newest state once its number is another one.
 
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -239,6 +239,15 @@
     return LocalState({}, {})
 
 
+def make_reporters(collect: Callable[[], LocalState]) -> LoadReporters:
+    """Return reporters without peers, which listen on a free port."""
+    reporters = LoadReporters(
+        'here', collect, LoadServicer(make_loads(), lambda *_: None)
+    )
+    reporters.serve(f'127.0.0.1:{find_port()}', TopicServicer({}))
+    return reporters
+
+
 def wait_until(condition: Callable[[], bool]) -> bool:
     """Return True once a condition is true, or False if it stays false."""
     end = time.monotonic() + TIMEOUT_SECONDS
@@ -324,6 +333,38 @@
         assert source.newest is first
         assert len(collected) == 2
 
+    # Guards against empty reports that keep an old state alive.
+    def test_reports_go_on_after_a_collection_that_failed(self) -> None:
+        there = Peer()
+        collected: list[float] = []
+
+        def collect() -> LocalState:
+            collected.append(time.monotonic())
+            if len(collected) == 2:
+                raise RuntimeError('dictionary changed size')
+            return LocalState({HERE: Workload(len(collected), ())}, {})
+
+        here = make_reporters(collect)
+        here.set_peers({there.address})
+        assert wait_until(lambda: there.heard.running.get(HERE, 0) > 2)
+        here.close()
+        there.close()
+
+    def test_state_is_not_collected_for_nobody(self) -> None:
+        collected: list[float] = []
+
+        def collect() -> LocalState:
+            collected.append(time.monotonic())
+            return make_state()
+
+        here, there = make_reporters(collect), Peer()
+        time.sleep(3 * REPORT_INTERVAL_SECONDS)
+        assert not collected
+        here.set_peers({there.address})
+        assert wait_until(lambda: bool(collected))
+        here.close()
+        there.close()
+
     def test_reports_are_rarer_in_large_fleets(self) -> None:
         interval = StateSource(make_state, lambda: 8).find_interval()
         assert interval == REPORT_INTERVAL_SECONDS
