--- a/src/toucancourse/forwarding/reporting.py
+++ b/src/toucancourse/forwarding/reporting.py
@@ -32,6 +32,8 @@
 MAX_TOPIC_READS: Final = 120
 MS: Final = 1000
 PERCENT: Final = 100
+#: Prefill that is reported at most, so that it fits into 32 bits.
+MAX_READING_SECONDS: Final = 1e6
 #: Pause between keep-alive pings, in milliseconds: after a reset or a network
 #: partition a connection may stay open without any response.
 KEEPALIVE_MS: Final = 2000
@@ -352,7 +354,10 @@
     return peer_pb2.EndpointLoad(
         endpoint=digest,
         running=workload.running,
-        reading_ms=[int(seconds * MS) for seconds in workload.prefill_seconds],
+        reading_ms=[
+            int(min(MAX_READING_SECONDS, seconds) * MS)
+            for seconds in workload.prefill_seconds
+        ],
         slowness_percent=round(slowness.ratio * PERCENT),
         samples=slowness.samples,
     )
--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -25,6 +25,10 @@
 #: Figures of a load report: those that each has, and those that are known.
 MIN_LOAD_FIGURES = 3
 LOAD_FIGURES = 4
+#: Largest number of tokens that counts, and digits of a load's figure. Beyond
+#: them, forecasts overflow and reports to other entries can't be encoded.
+MAX_TOKENS = 10_000_000
+MAX_LOAD_DIGITS = 7
 #: Deadline of a request that states none.
 DEFAULT_DEADLINE_MS = '30000'
 
@@ -60,7 +64,7 @@
             prompt=tuple(
                 _decode_prompt(fields.get(names.PROMPT_PREFIX.lower(), ''))
             ),
-            prompt_tokens=int(prompt_tokens or 0),
+            prompt_tokens=_decode_tokens(prompt_tokens),
             expected_tokens=_decode_length(fields, output_tokens),
             session=fields.get(names.SESSION.lower(), ''),
             last_event=fields.get(names.LAST_EVENT.lower(), ''),
@@ -121,7 +125,15 @@
 
 def _decode_length(fields: Mapping[str, str], max_tokens: str) -> int:
     """Return the expected output tokens, or else the allowed maximum."""
-    return int(fields.get(names.LENGTH_HINT.lower()) or max_tokens or 0)
+    return _decode_tokens(fields.get(names.LENGTH_HINT.lower()) or max_tokens)
+
+
+def _decode_tokens(text: str) -> int:
+    """Return a number of tokens, 0 for an empty text.
+
+    Raises ValueError.
+    """
+    return max(0, min(MAX_TOKENS, int(text or 0)))
 
 
 def _remove_headers(headers: Headers, fields: Mapping[str, str]) -> Headers:
@@ -142,7 +154,7 @@
     for part in text.split(','):
         identifier, _, tokens = part.strip().partition(':')
         if identifier and tokens.isdecimal():
-            yield PromptPart(identifier, int(tokens))
+            yield PromptPart(identifier, _decode_tokens(tokens))
 
 
 def _decode_load(text: str) -> Load | None:
@@ -153,13 +165,17 @@
     figures = text.split(',')[:LOAD_FIGURES]
     if len(figures) < MIN_LOAD_FIGURES:
         return None
-    if not all(figure.strip().isdecimal() for figure in figures):
+    if not all(_is_load_figure(figure.strip()) for figure in figures):
         return None
     running, waiting, slots, *rest = (int(figure) for figure in figures)
     slowdown = rest[0] / PERCENT if rest and rest[0] else 1.0
     return Load(running, waiting, slots, slowdown)
 
 
+def _is_load_figure(text: str) -> bool:
+    return text.isdecimal() and len(text) <= MAX_LOAD_DIGITS
+
+
 def _decode_number(
     fields: Mapping[str, str],
     name: str,
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -306,6 +306,13 @@
         here.close()
         late.close()
 
+    # Guards against an exception that ends the thread of all reports.
+    def test_endless_prefill_is_reported(self) -> None:
+        state = LocalState({HERE: Workload(1, (1e12,))}, {})
+        source = StateSource(lambda: state, lambda: 2)
+        source.collect()
+        assert source.newest.changes.loads[0].reading_ms[0] >= 1e9
+
     def test_state_is_collected_once_for_all_peers(self) -> None:
         """Small instances in a large fleet: collecting takes their time."""
         collected: list[float] = []
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -16,7 +16,7 @@
 from toucancourse.forwarding.objects import Load, RouteKind
 from toucancourse.forwarding.records import RolloutStatus
 from toucancourse.forwarding.tables import OperatorConfig
-from toucancourse.platform.messages import PlatformCodec
+from toucancourse.platform.messages import MAX_TOKENS, PlatformCodec
 from toucancourse.platform.records import PlatformDecoder, decode_table
 from toucancourse.platform.settings import read_node_settings
 from toucancourse.settings.files import SettingsError
@@ -242,6 +242,29 @@
             PlatformCodec().decode_call(raw)
 
 
+class TestAbsurdCounts:
+    """Counts of tokens or requests that no sender can mean."""
+
+    @pytest.mark.parametrize('digits', [12, 400])
+    def test_tokens_are_bounded(self, digits: int) -> None:
+        count = '9' * digits
+        headers = (
+            ('X-Token-Usage', f'{count},{count}'),
+            ('X-Prompt-Prefix', f'a:{count}'),
+        )
+        raw = RawRequest('GET', '/', headers, b'', 0.0)
+        call = PlatformCodec().decode_call(raw)
+        assert call.prompt_tokens == MAX_TOKENS
+        assert call.expected_tokens == MAX_TOKENS
+        assert call.prompt[0].tokens == MAX_TOKENS
+
+    @pytest.mark.parametrize('digits', [12, 400, 5000])
+    def test_load_is_ignored(self, digits: int) -> None:
+        load = f'{"9" * digits},1,8'
+        head = PlatformCodec().decode_head(200, (('X-Server-Load', load),))
+        assert head.load is None
+
+
 class TestSettings:
     """Settings files are validated; an error is a single line."""
 
