--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -37,7 +37,7 @@
 #: Share of the connections on which a request may be unfinished.
 UNFINISHED_SHARE: Final = 0.75
 #: Share of the connections above which silent ones are closed, and the time
-#: after which one is silent that never sent a byte.
+#: without a request after which one is silent.
 OPEN_SHARE: Final = 0.85
 SILENCE_SECONDS: Final = 2.0
 #: Stack size of a request's thread; the deepest calls need far less.
@@ -169,9 +169,10 @@
         self._close_unused_surplus()
 
     def _close_unused_surplus(self) -> None:
-        """Close connections that never sent a byte if there are many.
+        """Close connections without a request if there are many.
 
-        Others could not connect once the limit is reached.
+        Others could not connect once the limit is reached. Those that never
+        sent a byte go first, then those that are idle for longest.
         """
         surplus = self.count_open() - self._free_from
         if surplus <= 0:
@@ -180,9 +181,9 @@
         silent = [
             channel
             for channel in tuple(self.active_channels.values())
-            if not channel.was_used and channel.last_used < opened_before
+            if not channel.is_busy() and channel.last_used < opened_before
         ]
-        silent.sort(key=lambda channel: channel.last_used)
+        silent.sort(key=lambda channel: (channel.was_used, channel.last_used))
         for channel in silent[:surplus]:
             channel.will_close = True
             self.refusals.add('silent')
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -286,6 +286,23 @@
         first.close()
 
 
+class TestIdleConnections:
+    """Connections that are kept open without a request."""
+
+    @pytest.mark.parametrize('request_bytes', [b'\r\n\r\n', HEAD + NO_BODY])
+    def test_idle_crowd_leaves_room_for_others(
+        self, ingress: Ingress, request_bytes: bytes
+    ) -> None:
+        crowd = [ingress.connect() for _ in range(LIMITS.connections + 20)]
+        for caller in crowd:
+            caller.send_raw(request_bytes)
+        other = ingress.connect()
+        other.send('/plain')
+        assert b' 200 ' in other.read_head()
+        for caller in (other, *crowd):
+            caller.close()
+
+
 class TestUnfinishedRequests:
     """Requests that don't end, or that need more memory than there is."""
 
