--- a/src/toucancourse/platform/messages.py
+++ b/src/toucancourse/platform/messages.py
@@ -31,6 +31,8 @@
 MAX_LOAD_DIGITS = 7
 #: Deadline of a request that states none.
 DEFAULT_DEADLINE_MS = '30000'
+#: Longest deadline; it bounds the time for which sessions are remembered.
+MAX_DEADLINE_MS = 86_400_000.0
 
 
 class PlatformCodec(Codec):
@@ -59,7 +61,8 @@
             headers=_remove_headers(raw.headers, fields),
             body=raw.body,
             api_key=fields.get(names.CALLER_KEY.lower(), ''),
-            deadline=raw.received + deadline_ms / MS_PER_SECOND,
+            deadline=raw.received
+            + min(MAX_DEADLINE_MS, deadline_ms) / MS_PER_SECOND,
             received=raw.received,
             prompt=tuple(
                 _decode_prompt(fields.get(names.PROMPT_PREFIX.lower(), ''))
--- a/tests/test_records.py
+++ b/tests/test_records.py
@@ -16,7 +16,11 @@
 from toucancourse.forwarding.objects import Load, RouteKind
 from toucancourse.forwarding.records import RolloutStatus
 from toucancourse.forwarding.tables import OperatorConfig
-from toucancourse.platform.messages import MAX_TOKENS, PlatformCodec
+from toucancourse.platform.messages import (
+    MAX_DEADLINE_MS,
+    MAX_TOKENS,
+    PlatformCodec,
+)
 from toucancourse.platform.records import PlatformDecoder, decode_table
 from toucancourse.platform.settings import read_node_settings
 from toucancourse.settings.files import SettingsError
@@ -243,7 +247,13 @@
 
 
 class TestAbsurdCounts:
-    """Counts of tokens or requests that no sender can mean."""
+    """Counts of tokens or requests and times that no sender can mean."""
+
+    @pytest.mark.parametrize('text', ['1e13', '1e300'])
+    def test_deadline_is_bounded(self, text: str) -> None:
+        raw = RawRequest('GET', '/', (('X-Deadline-Ms', text),), b'', 0.0)
+        call = PlatformCodec().decode_call(raw)
+        assert call.deadline == MAX_DEADLINE_MS / 1000
 
     @pytest.mark.parametrize('digits', [12, 400])
     def test_tokens_are_bounded(self, digits: int) -> None:
