--- a/src/toucancourse/forwarding/endpoints.py
+++ b/src/toucancourse/forwarding/endpoints.py
@@ -71,6 +71,8 @@
 
     def update(self, record: EndpointRecord) -> None:
         """Apply a newer record of the same incarnation."""
+        if record.slots != self.record.slots:
+            self.limit = ConcurrencyLimit(record.slots)
         self.record = record
         self.expired_at = None
         self.is_presumed_cold = False
--- a/tests/test_slowness.py
+++ b/tests/test_slowness.py
@@ -212,6 +212,17 @@
         harness.close()
 
 
+class TestSlots:
+    """An endpoint whose record tells another number of slots."""
+
+    def test_limit_follows_the_record(self) -> None:
+        endpoint = make_endpoint('i-1', slots=4)
+        endpoint.update(endpoint.record._replace(slots=16))
+        assert endpoint.limit.find_crowding(15) == 1
+        endpoint.update(endpoint.record._replace(slots=8))
+        assert endpoint.limit.find_crowding(15) == 2
+
+
 class TestPeers:
     """Entries that see few requests each, and tell each other."""
 
