--- a/src/toucancourse/forwarding/comparison.py
+++ b/src/toucancourse/forwarding/comparison.py
@@ -153,7 +153,7 @@
 def _compare_services(
     old: RoutingTable, new: RoutingTable
 ) -> Iterator[Difference]:
-    for name in old.services.keys() - new.services.keys():
+    for name in sorted(old.services.keys() - new.services.keys()):
         yield Difference(
             f'service "{name}"', 'removed', 'cold endpoints have no bound'
         )
@@ -198,7 +198,7 @@
                 f'priority {account.priority} -> {holder.priority}',
                 'holds for new requests',
             )
-    for key in new.accounts.keys() - old.accounts.keys():
+    for key in sorted(new.accounts.keys() - old.accounts.keys()):
         yield Difference(
             f'account "{new.accounts[key].name}"',
             f'key "{_shorten(key)}" added',
--- a/src/toucancourse/forwarding/rollouts.py
+++ b/src/toucancourse/forwarding/rollouts.py
@@ -439,7 +439,7 @@
     def _publish_shift(self, timed: TimedOrder) -> bool:
         """Publish when the roll-out began, and that its shift may start.
 
-        Returns False if both are published.
+        Returns False if both are published or others have their turn.
         """
         order = timed.order
         progress = self._rollouts.find_progress(timed)
@@ -449,7 +449,7 @@
             self._turn_times.pop((order.service, order.target, is_good), None)
             return False
         if not self._is_own_turn(order, is_good):
-            return True
+            return False
         began = time.time() - progress * max(1.0, order.duration)
         shift = TrafficShift(order.service, order.target, began, is_good)
         self._write(*encode_shift(shift))
--- a/tests/test_rollouts.py
+++ b/tests/test_rollouts.py
@@ -384,6 +384,16 @@
             clock.now += 0.25
         assert topic.appends == 1
 
+    def test_entry_that_waits_for_its_turn_reports(self, clock: Clock) -> None:
+        """A version fails while its roll-out's start isn't published yet."""
+        topic = SharedTopic()
+        entry = Entry(topic, 'entry-2', 20, 3)
+        entry.step()
+        entry.rollouts.get_analysis('desk').record_failure('v2')
+        clock.now += 0.25
+        entry.step()
+        assert topic.appends == 1
+
     def test_next_entry_publishes_if_the_first_is_cut_off(
         self, clock: Clock
     ) -> None:
