--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -204,7 +204,7 @@
         self._log = rig.folder / f'{self.name}.log'
         self._peers = find_port()
         self.process: subprocess.Popen[bytes] | None = None
-        self._write_settings(bootstrap=True)
+        self._is_first = True
 
     def _write_settings(self, *, bootstrap: bool) -> None:
         self._path.write_text(
@@ -220,7 +220,9 @@
         )
 
     def start(self) -> None:
-        """Start the process, as the platform does."""
+        """Write the settings and start the process, as the platform does."""
+        self._write_settings(bootstrap=self._is_first)
+        self._is_first = False
         deploy = tomllib.loads((ROOT / 'deploy/system.toml').read_text())
         command = deploy['roles']['entry']['run'].split()
         kept = {
@@ -241,7 +243,6 @@
                 stdout=log,
                 stderr=log,
             )
-        self._write_settings(bootstrap=False)
 
     def is_running(self) -> bool:
         """Return True while the process lives."""
