--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -391,12 +391,20 @@
         self._record = (Path(case).resolve().parent / 'record.txt').open('w')
         self._scratch = tempfile.TemporaryDirectory()
         self.folder = Path(self._scratch.name)
+        self._paths = (
+            (str(ROOT), '.'),
+            (sys.base_prefix, 'PYTHON'),
+            (str(self.folder), 'FOLDER'),
+        )
         self.store = KeyedStore()
         self.replicas: list[Replica] = []
         self.entries: list[Entry] = []
 
     def write(self, text: str) -> None:
         """Add a line to the record."""
+        # Paths of this machine say nothing about the case.
+        for path, name in self._paths:
+            text = text.replace(path, name)
         with self._lock:
             seconds = time.time() - self._began
             self._record.write(f'{seconds:8.3f} s  {text}\n')
