--- a/review/lib-2/rig.py
+++ b/review/lib-2/rig.py
@@ -65,7 +65,7 @@
 [limits]
 cpuFraction = 0.817
 cpuCores = 1
-memoryMb = 300
+memoryMb = {memory_mb}
 fileDescriptors = 4200
 linkMbps = 1000.0
 diskMb = 0
@@ -215,6 +215,7 @@
                 ready=self.ready,
                 peers=self._peers,
                 store=self._rig.store.address,
+                memory_mb=self._rig.memory_mb,
                 bootstrap=str(bootstrap).lower(),
             )
         )
@@ -316,6 +317,8 @@
         self.error = ''
         #: True if earlier requests were answered on the connection.
         self.is_kept = False
+        #: The client's port.
+        self.port = 0
 
 
 class Client:
@@ -358,6 +361,7 @@
                 self._connection = connection
                 self.answered = 0
             answer.is_kept = self.answered > 0
+            answer.port = connection.sock.getsockname()[1]
             connection.sock.settimeout(deadline + patience)
             connection.request('POST', path, b'{}', fields)
             response = connection.getresponse()
@@ -397,6 +401,8 @@
             (str(self.folder), 'FOLDER'),
         )
         self.store = KeyedStore()
+        #: Memory of each entry in its settings.
+        self.memory_mb = 300
         self.replicas: list[Replica] = []
         self.entries: list[Entry] = []
 
@@ -406,6 +412,8 @@
         for path, name in self._paths:
             text = text.replace(path, name)
         with self._lock:
+            if self._record.closed:
+                return
             seconds = time.time() - self._began
             self._record.write(f'{seconds:8.3f} s  {text}\n')
 
