Let other tests use the crowds of clients

Cause: the clients and the entry with little memory stood in the one test module that used them; crowds at other addresses need them too. Change: they move to tests/crowds.py, the fixture of the entry to conftest.

--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -8,6 +8,7 @@
 from hypothesis import settings
 from loguru import logger
 
+from .crowds import Entry
 from .fleet import SmallFleet
 from .forwarding import RelayHarness
 
@@ -36,6 +37,14 @@
         yield fleet
 
 
+@pytest.fixture
+def entry(tmp_path: Path) -> Iterator[Entry]:
+    """Return an entry with little memory that is ready."""
+    running = Entry(tmp_path)
+    yield running
+    running.close()
+
+
 @pytest.fixture
 def relay() -> Iterator[RelayHarness]:
     """Return a relay in front of one endpoint."""
