Bound what a crowd at the ports for peers makes a process hold

Seen: 240 unfinished messages of 4 MiB on 60 connections made a sidecar grow by 987 MB, and an entry of the users' platform with 128 MB reach 1,037 MB. 130 silent connections took 144 and 154 descriptors. Cause: the gRPC servers ran with gRPC's defaults: any number of connections and streams, 4 MiB a message, and a first window of 4 MiB for each stream, which a client may fill even if the stream is refused. Fix: create_server() takes limits of threads, connections, streams and message size, and sets a first window of 64 KiB. A sidecar takes max_entries (600, as many as it had threads) with one stream each. An entry takes up to 160 others, at most a fifth of its descriptors, and 64 KiB a message; larger states are sent as several reports, which receivers add up as before. Why it works: memory is at most connections times streams times message size.

--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -460,7 +460,9 @@
         tails = {name: feed.tail for name, feed in topics.items()}
         try:
             reporters.serve(
-                self._settings.peers, topicreads.TopicServicer(tails)
+                self._settings.peers,
+                topicreads.TopicServicer(tails),
+                reporting.find_connections(self._settings.descriptors),
             )
         except RuntimeError as error:
             # Requests are still served, with the load that endpoints report.
--- a/src/toucancourse/daemon/sidecar.py
+++ b/src/toucancourse/daemon/sidecar.py
@@ -1,10 +1,8 @@
 """The sidecar role: proxies all requests to one endpoint."""
 
 import time
-from concurrent.futures import ThreadPoolExecutor
 from typing import Final
 
-import grpc
 from loguru import logger
 
 from ..admission.gate import Gate
@@ -14,6 +12,7 @@
 from ..interfaces.engine import HttpEngine, LoadReport
 from ..interfaces.weights import HttpWeightStore, UnlimitedWeightStore
 from ..protocol import peer_pb2, peer_pb2_grpc
+from ..protocol.transports import GrpcLimits, create_server
 from ..rollout.placement import PlacementReconciler
 from ..routing.offers import OfferWriter
 from ..settings.files import Settings
@@ -21,8 +20,12 @@
 from .core import Core
 
 MS_PER_SECOND: Final = 1000
-#: Threads of the gRPC server; each stream of a peer occupies one.
-MAX_STREAMS: Final = 600
+#: An entry has one stream on its connection.
+STREAMS_PER_ENTRY: Final = 1
+#: Size of a message over that of the largest body: JSON that is written again
+#: may be longer, and other items share the message.
+MESSAGE_FACTOR: Final = 2
+MESSAGE_MARGIN_BYTES: Final = 1_048_576
 #: Interval between fetches of the engine's load report.
 LOAD_INTERVAL_SECONDS: Final = 0.25
 #: Longest pause between tokens at which the endpoint counts as warm; after
@@ -104,9 +107,16 @@
         self._offer_writer = OfferWriter(
             self.core.instance, self.core.log, self._list_offers
         )
-        self._server = grpc.server(
-            ThreadPoolExecutor(MAX_STREAMS, 'stream'),
-            options=[('grpc.so_reuseport', 0)],
+        max_entries = settings.get_integer('sidecar', 'max_entries')
+        max_body_bytes = settings.get_integer('sidecar', 'max_body_bytes')
+        self._server = create_server(
+            GrpcLimits(
+                max_entries,
+                max_entries,
+                STREAMS_PER_ENTRY,
+                max_body_bytes * MESSAGE_FACTOR + MESSAGE_MARGIN_BYTES,
+            ),
+            'stream',
         )
         peer_pb2_grpc.add_PeerServicer_to_server(self.servicer, self._server)
 
--- a/src/toucancourse/forwarding/peerstates.py
+++ b/src/toucancourse/forwarding/peerstates.py
@@ -43,7 +43,7 @@
     def update(self, instance: str, stream: object, state: LocalState) -> None:
         """Apply what changed at an entry, as it reported on a stream.
 
-        The first report of a stream has the whole state.
+        The first reports of a stream have the whole state.
         """
 
     @abstractmethod
--- a/src/toucancourse/forwarding/reporting.py
+++ b/src/toucancourse/forwarding/reporting.py
@@ -1,8 +1,8 @@
 """Streams on which entries report their workloads to each other."""
 
+import math
 import threading
 from collections.abc import Callable, Iterator, Mapping, Sequence
-from concurrent.futures import ThreadPoolExecutor
 from typing import Final, NamedTuple, TypeVar
 
 import grpc
@@ -10,7 +10,12 @@
 
 from ..membership.clock import read_clock
 from ..protocol import peer_pb2, peer_pb2_grpc
-from ..protocol.transports import CHANNEL_OPTIONS, lengthen_grpc_waits
+from ..protocol.transports import (
+    CHANNEL_OPTIONS,
+    GrpcLimits,
+    create_server,
+    lengthen_grpc_waits,
+)
 from .loads import NO_WORKLOAD, STALE_SECONDS, PeerLoads, Workload
 from .peerstates import NO_SLOWNESS, LocalState, Slowness, StateListener
 from .topicreads import TopicServicer
@@ -30,6 +35,15 @@
 MAX_PEERS: Final = 24
 #: Reads of topics that wait at this entry at the same time.
 MAX_TOPIC_READS: Final = 120
+#: Connections of other entries, and descriptors of the process for each.
+MAX_CONNECTIONS: Final = 160
+DESCRIPTORS_PER_CONNECTION: Final = 5
+#: Streams of a connection; an entry reads three topics at a time.
+STREAMS_PER_CONNECTION: Final = 4
+#: Size of a message, and the endpoints and sessions that one report holds.
+MESSAGE_BYTES: Final = 65_536
+ENDPOINTS_PER_REPORT: Final = 100
+SESSIONS_PER_REPORT: Final = 2000
 MS: Final = 1000
 PERCENT: Final = 100
 #: Prefill that is reported at most, so that it fits into 32 bits.
@@ -48,6 +62,7 @@
 
 CollectState = Callable[[], LocalState]
 _State = TypeVar('_State')
+_Item = TypeVar('_Item')
 _NO_STATE: Final = (NO_WORKLOAD, NO_SLOWNESS)
 #: Pins a session, given its digest and the seconds until it ends.
 PinSession = Callable[[int, float], None]
@@ -101,7 +116,7 @@
 
     number: int
     state: LocalState
-    changes: peer_pb2.LoadReport
+    changes: list[peer_pb2.LoadReport]
 
 
 class StateSource:
@@ -115,7 +130,7 @@
         self._count_peers = count_peers
         self._changed = threading.Condition()
         self._stopped = threading.Event()
-        self.newest = _Snapshot(0, LocalState({}, {}), peer_pb2.LoadReport())
+        self.newest = _Snapshot(0, LocalState({}, {}), [])
 
     def run(self) -> None:
         """Collect the state again and again while there are streams."""
@@ -198,7 +213,7 @@
 
     def _make_reports(self) -> Iterator[peer_pb2.LoadReport]:
         sent = self._source.newest
-        yield _encode(
+        yield from _encode(
             self._instance, _find_changes(LocalState({}, {}), sent.state)
         )
         while not self._stopped.is_set():
@@ -211,9 +226,9 @@
             if newest.number == sent.number:
                 yield peer_pb2.LoadReport()
             elif newest.number == sent.number + 1:
-                yield newest.changes
+                yield from newest.changes
             else:
-                yield _encode('', _find_changes(sent.state, newest.state))
+                yield from _encode('', _find_changes(sent.state, newest.state))
             sent = newest
 
     def _record_disconnect(self, error: grpc.RpcError) -> None:
@@ -243,15 +258,26 @@
         self._reporters: dict[str, LoadReporter] = {}
         self._server: grpc.Server | None = None
 
-    def serve(self, address: str, topics: TopicServicer) -> None:
+    def serve(
+        self,
+        address: str,
+        topics: TopicServicer,
+        connections: int = MAX_CONNECTIONS,
+    ) -> None:
         """Listen for the other entries, which also read topics here.
 
         Raises RuntimeError if the address is in use.
         """
         lengthen_grpc_waits()
-        server = grpc.server(
-            ThreadPoolExecutor(MAX_PEERS + MAX_TOPIC_READS, 'peer'),
-            options=(*KEEPALIVE_OPTIONS, ('grpc.so_reuseport', 0)),
+        server = create_server(
+            GrpcLimits(
+                MAX_PEERS + MAX_TOPIC_READS,
+                connections,
+                STREAMS_PER_CONNECTION,
+                MESSAGE_BYTES,
+            ),
+            'peer',
+            KEEPALIVE_OPTIONS,
         )
         # gRPC stops a server once it has no references.
         self._server = server
@@ -290,6 +316,11 @@
             ).start()
 
 
+def find_connections(descriptors: int) -> int:
+    """Return the connections of other entries that descriptors suffice for."""
+    return min(MAX_CONNECTIONS, descriptors // DESCRIPTORS_PER_CONNECTION)
+
+
 def _find_changes(reported: LocalState, state: LocalState) -> LocalState:
     """Return what differs from the state that was reported."""
     endpoints = _find_changed(
@@ -334,25 +365,42 @@
     }
 
 
-def _encode(instance: str, changed: LocalState) -> peer_pb2.LoadReport:
+def _encode(instance: str, changed: LocalState) -> list[peer_pb2.LoadReport]:
+    """Return reports of a state, as many as the size of a message needs."""
     now = read_clock()
-    return peer_pb2.LoadReport(
-        instance=instance,
-        loads=[
-            _encode_endpoint(digest, workload, slowness)
-            for digest, (workload, slowness) in _join_endpoints(changed).items()
-        ],
-        sessions=[
-            peer_pb2.OldSession(
-                session=digest, left_ms=max(0, int((until - now) * MS))
-            )
-            for digest, until in changed.sessions.items()
-        ],
-        accounts=[
-            peer_pb2.AccountUse(account=digest, work_ms=int(use * MS))
-            for digest, use in changed.accounts.items()
-        ],
+    endpoints = [
+        _encode_endpoint(digest, workload, slowness)
+        for digest, (workload, slowness) in _join_endpoints(changed).items()
+    ]
+    sessions = [
+        peer_pb2.OldSession(
+            session=digest, left_ms=max(0, int((until - now) * MS))
+        )
+        for digest, until in changed.sessions.items()
+    ]
+    count = max(
+        1,
+        math.ceil(len(endpoints) / ENDPOINTS_PER_REPORT),
+        math.ceil(len(sessions) / SESSIONS_PER_REPORT),
     )
+    reports = [
+        peer_pb2.LoadReport(
+            loads=_take(endpoints, row, ENDPOINTS_PER_REPORT),
+            sessions=_take(sessions, row, SESSIONS_PER_REPORT),
+        )
+        for row in range(count)
+    ]
+    reports[0].instance = instance
+    reports[0].accounts.extend(
+        peer_pb2.AccountUse(account=digest, work_ms=int(use * MS))
+        for digest, use in changed.accounts.items()
+    )
+    return reports
+
+
+def _take(items: list[_Item], row: int, size: int) -> list[_Item]:
+    """Return one row of items, each row of some size."""
+    return items[row * size : (row + 1) * size]
 
 
 def _encode_endpoint(
--- a/src/toucancourse/protocol/transports.py
+++ b/src/toucancourse/protocol/transports.py
@@ -4,6 +4,7 @@
 import threading
 from abc import ABC, abstractmethod
 from collections.abc import Mapping
+from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 from typing import Any, Final, NamedTuple
 
@@ -20,6 +21,8 @@
     ('grpc.max_send_message_length', MAX_MESSAGE_BYTES),
     ('grpc.use_local_subchannel_pool', 1),
 )
+#: What a peer may send on a stream before it announces a larger message.
+WINDOW_BYTES: Final = 65_536
 #: Longest sleep of a gRPC thread that waits for a message; a message ends the
 #: sleep at once. The default of gRPC, 0.1 s, lets the main thread notice
 #: signals, but here the main thread never waits for a stream.
@@ -66,6 +69,20 @@
         return True
 
 
+class GrpcLimits(NamedTuple):
+    """Resource limits of a gRPC server; all bound what peers can make it hold.
+
+    A connection above the limit is closed, a larger message ends its stream.
+    """
+
+    #: Threads; each stream occupies one.
+    threads: int
+    connections: int
+    #: Streams of one connection.
+    streams: int
+    message_bytes: int
+
+
 class KeyFiles(NamedTuple):
     """Paths of the PEM files of one daemon."""
 
@@ -155,6 +172,27 @@
         return pem
 
 
+def create_server(
+    limits: GrpcLimits,
+    thread_name: str,
+    options: tuple[tuple[str, int], ...] = (),
+) -> grpc.Server:
+    """Return a gRPC server without ports that keeps to the limits."""
+    return grpc.server(
+        ThreadPoolExecutor(limits.threads, thread_name),
+        options=(
+            *options,
+            ('grpc.so_reuseport', 0),
+            ('grpc.max_allowed_incoming_connections', limits.connections),
+            ('grpc.max_concurrent_streams', limits.streams),
+            ('grpc.max_receive_message_length', limits.message_bytes),
+            # A stream that is refused may still fill its first window.
+            ('grpc.http2.lookahead_bytes', WINDOW_BYTES),
+            ('grpc.http2.bdp_probe', 0),
+        ),
+    )
+
+
 def lengthen_grpc_waits() -> None:
     """Lengthen the polling interval of the gRPC threads that wait.
 
--- a/src/toucancourse/settings/schema.py
+++ b/src/toucancourse/settings/schema.py
@@ -153,6 +153,8 @@
         'endpoint_kind': choice_option('model', 'service'),
         'service': NAME._replace(default=''),
         'slots': integer_option(16, 1, 4096),
+        'max_entries': integer_option(600, 1, 10_000),
+        'max_body_bytes': integer_option(4 * MIB, 1024, 256 * MIB),
         'checks_fence': Option(parse_boolean, True, 'yes or no'),
         'collect_seconds': number_option(0.1, 0, 10),
         'linger_ms': number_option(5, 0, 100),
--- a/tests/test_loads.py
+++ b/tests/test_loads.py
@@ -320,7 +320,23 @@
         state = LocalState({HERE: Workload(1, (1e12,))}, {})
         source = StateSource(lambda: state, lambda: 2)
         source.collect()
-        assert source.newest.changes.loads[0].reading_ms[0] >= 1e9
+        assert source.newest.changes[0].loads[0].reading_ms[0] >= 1e9
+
+    def test_large_state_is_reported_in_parts(self) -> None:
+        """A message over the other entry's limit would end the stream."""
+        here, there = Peer(), Peer()
+        names = [f'i-{row}' for row in range(1000)]
+        here.workloads.update({hash_text(name): BUSY for name in names})
+        here.sessions.update(
+            {row: time.monotonic() + 60 for row in range(10_000)}
+        )
+        here.reporters.set_peers({there.address})
+        assert wait_until(lambda: len(there.pinned) == len(here.sessions))
+        assert wait_until(
+            lambda: all(there.loads.find(name) == BUSY for name in names)
+        )
+        here.close()
+        there.close()
 
     def test_state_is_collected_once_for_all_peers(self) -> None:
         """Small instances in a large fleet: collecting takes their time."""
