Serve the largest legal bodies at the product's own interface

Seen: a chat completion request of 4 MiB, the largest that is taken, was answered 502 outcome_unknown, and all requests on the link to that sidecar were lost with it. Cause: gRPC refuses messages above 4 MiB by default, which ends the stream; the entry put all waiting requests into one message, and wrote bodies again as ASCII, up to three times as long. A body that still grows to more than twice its size is refused with 413 and not tried elsewhere. As such requests are served now, a whole body counts twelve times in the budget of bytes, and one that needs more than all large ones may hold is served alone. In retries CourseError.is_final replaces a check for one class.

--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -63,6 +63,9 @@
 CHANGE_TIMEOUT_SECONDS: Final = 1.0
 #: Length of a key that signs conversation ids.
 SECRET_BYTES: Final = 32
+#: Copies of a body on its way to a sidecar: received, parsed, encoded again
+#: and in a message; a character may take four bytes of a text in memory.
+BODY_COPIES: Final = 12
 ADMIN_THREADS: Final = 8
 ADMIN_BODY_BYTES: Final = 1_048_576
 
@@ -159,6 +162,7 @@
                 max_body_bytes,
                 settings.get_integer(SECTION, 'idle_caller_seconds'),
                 settings.get_integer(SECTION, 'request_memory_bytes'),
+                BODY_COPIES,
             ),
         )
         self._changes = ChangeSubmitter(
--- a/src/toucancourse/delivery/dispatch.py
+++ b/src/toucancourse/delivery/dispatch.py
@@ -19,6 +19,7 @@
     UnknownOutcomeError,
 )
 from ..protocol import peer_pb2
+from ..web.messages import encode_json
 from .endpoint import EndpointCall, EventStreamParser, ResponseHead, read_usage
 from .executions import Execution
 
@@ -282,9 +283,9 @@
     body: dict[str, Any] = json.loads(request.body)
     body['model'] = request.version
     if not request.stream:
-        return json.dumps(body).encode(), True
+        return encode_json(body), True
     options = dict(body.get('stream_options') or {})
     keep_usage = bool(options.get('include_usage'))
     options['include_usage'] = True
     body['stream_options'] = options
-    return json.dumps(body).encode(), keep_usage
+    return encode_json(body), keep_usage
--- a/src/toucancourse/delivery/exchange.py
+++ b/src/toucancourse/delivery/exchange.py
@@ -7,16 +7,19 @@
 
 from ..billing.ledger import compute_cost
 from ..contract.objects import VersionBody
-from ..errors import BadRequestError, CourseError, Outcome
+from ..errors import BadRequestError, CourseError, Outcome, TooLargeError
 from ..routing.endpoints import AFFINITY_PREFIX_BYTES
 from ..routing.versions import AUTO
-from ..web.messages import Request, StartResponse
+from ..web.messages import Request, StartResponse, encode_json
 from .attempts import Attempt
 from .callers import Caller, RequestOptions
 from .links import Link
 
 PATH: Final = '/v1/chat/completions'
 MAX_CHOICES: Final = 16
+#: Longest body that is sent on, over the length that was received.
+MAX_GROWTH: Final = 2
+GROWTH_MARGIN_BYTES: Final = 65_536
 DONE: Final = 'done'
 
 
@@ -26,6 +29,7 @@
     code = 'caller_gone'
     status = 499
     outcome = Outcome.unknown
+    is_final = True
 
 
 class Exchange(NamedTuple):
@@ -53,7 +57,11 @@
         return self._find_choice_limit() * (self.body.get('n') or 1)
 
     def encode_body(self) -> bytes:
-        """Return the JSON body with the contract's token limit applied."""
+        """Return the JSON body with the contract's token limit applied.
+
+        Raises TooLargeError if it is much longer than what was received, as
+        endpoints take no message of any size.
+        """
         body = dict(self.body)
         key = (
             'max_completion_tokens'
@@ -61,7 +69,13 @@
             else 'max_tokens'
         )
         body[key] = self._find_choice_limit()
-        return json.dumps(body).encode()
+        encoded = encode_json(body)
+        size = len(self.request.body)
+        if len(encoded) > size * MAX_GROWTH + GROWTH_MARGIN_BYTES:
+            raise TooLargeError(
+                f'the body has {size} bytes, but {len(encoded)} in plain JSON'
+            )
+        return encoded
 
     def make_prefix_key(self) -> str:
         """Return a prefix affinity key, or '' for a short request.
--- a/src/toucancourse/delivery/links.py
+++ b/src/toucancourse/delivery/links.py
@@ -27,6 +27,8 @@
 MAX_MISSED_HEARTBEATS: Final = 4
 #: How long open attempts wait for their sidecar to reconnect.
 RECONNECT_GRACE_SECONDS: Final = 3.0
+#: Bodies of requests that share a message.
+MESSAGE_BYTES: Final = 524_288
 
 Item = (
     peer_pb2.Open
@@ -310,7 +312,8 @@
             status=gossip.make_status(leaving=self.entry_draining),
         )
         for batch in outbox.batches(gossip.find_period):
-            yield self._build_message(batch, gossip)
+            for part in _split_batch(batch):
+                yield self._build_message(part, gossip)
 
     def _build_message(
         self,
@@ -396,6 +399,23 @@
         self._inquiries.receive(fate)
 
 
+def _split_batch(batch: list[Item]) -> Iterator[list[Item]]:
+    """Yield parts of a batch that fit into a message.
+
+    A part has bodies of MESSAGE_BYTES, or a single one.
+    """
+    part: list[Item] = []
+    size = 0
+    for item in batch:
+        body_size = len(item.body) if isinstance(item, peer_pb2.Open) else 0
+        if size and size + body_size > MESSAGE_BYTES:
+            yield part
+            part, size = [], 0
+        part.append(item)
+        size += body_size
+    yield part
+
+
 def _is_repeatable(attempt: Attempt) -> bool:
     return not attempt.sent or (
         attempt.request.idempotent and attempt.next_seq == 0
--- a/src/toucancourse/delivery/retries.py
+++ b/src/toucancourse/delivery/retries.py
@@ -85,9 +85,9 @@
                 )
             try:
                 return self._attempt(exchange, candidate.version, link, steps)
-            except CallerGoneError:
-                raise
             except CourseError as error:
+                if error.is_final:
+                    raise
                 last_error = error
                 log_failed_attempt(
                     exchange.request_id, exchange.caller, link, error
--- a/src/toucancourse/errors.py
+++ b/src/toucancourse/errors.py
@@ -49,6 +49,8 @@
     code = 'internal'
     status = 500
     outcome = Outcome.not_run
+    #: True if no other endpoint could serve the request either.
+    is_final = False
     #: Seconds after which a retry may succeed, or None.
     retry_after: float | None = None
 
@@ -122,6 +124,7 @@
 
     code = 'too_large'
     status = 413
+    is_final = True
 
 
 class SlowRequestError(CourseError):
--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -34,6 +34,8 @@
 LINGER_SECONDS: Final = 0.5
 #: Bytes that all requests hold together, unless they are configured.
 DEFAULT_HELD_BYTES: Final = 33_554_432
+#: A whole body and the copy of it that is served.
+BODY_COPIES: Final = 2
 #: Share of the connections on which a request may be unfinished.
 UNFINISHED_SHARE: Final = 0.75
 #: Share of the connections above which silent ones are closed, and the time
@@ -99,6 +101,7 @@
     """Accepts callers' connections and passes requests to a handler."""
 
     channel_class = IngressChannel
+    body_copies = BODY_COPIES
     active_channels: Any
     socket: Any
     trigger: Any
--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -22,8 +22,6 @@
 REQUEST_BYTES: Final = 2048
 #: Memory of a parsed header besides its text.
 HEADER_BYTES: Final = 200
-#: A whole body and the copy of it that is served.
-BODY_COPIES: Final = 2
 #: Bytes of framing that count as one byte of a body.
 FRAMING_FACTOR: Final = 8
 #: Framing for each byte of a body above which its chunks are very small, and
@@ -328,7 +326,10 @@
         if not request.error:
             size = request.measure()
             if request.body_rcv is not None:
-                size += request.body_bytes_received * (BODY_COPIES - 1)
+                size += request.body_bytes_received * (
+                    self.server.body_copies - 1
+                )
+            size = intake.weigh(size)
             is_kept, victims = intake.keep(size, self.last_used)
             if is_kept:
                 request.kept = size
--- a/src/toucancourse/web/intake.py
+++ b/src/toucancourse/web/intake.py
@@ -115,6 +115,13 @@
         with self._lock:
             self._forget(holding)
 
+    def weigh(self, size: int) -> int:
+        """Return what counts of a whole request that holds some bytes.
+
+        One that needs more than all large ones may hold is served alone.
+        """
+        return min(size, self._large_capacity)
+
     def keep(self, size: int, now: float) -> tuple[bool, list[Holding]]:
         """Keep a whole request if there is room once others are refused.
 
--- a/src/toucancourse/web/messages.py
+++ b/src/toucancourse/web/messages.py
@@ -84,6 +84,17 @@
     )
 
 
+def encode_json(value: object) -> bytes:
+    """Return a value as JSON about as long as the text it was read from."""
+    separators = (',', ':')
+    try:
+        text = json.dumps(value, ensure_ascii=False, separators=separators)
+        return text.encode()
+    except UnicodeEncodeError:
+        # Half of a surrogate pair has no other form than its escape.
+        return json.dumps(value, separators=separators).encode()
+
+
 def make_json_response(
     value: object,
     status: int = HTTPStatus.OK,
--- a/src/toucancourse/web/server.py
+++ b/src/toucancourse/web/server.py
@@ -30,6 +30,8 @@
     max_body_bytes: int
     idle_seconds: int
     held_bytes: int = 4_194_304
+    #: Copies of a whole body while it is served, the received one included.
+    body_copies: int = 2
 
 
 class Server:
@@ -105,6 +107,7 @@
     listener.intake = care.intake
     listener.refusals = care.refusals
     maintain = listener.maintenance
+    listener.body_copies = limits.body_copies
 
     def check(now: float) -> None:
         maintain(now)
