Close clients that don't read their answers

Seen: a client that reads nothing stayed connected for good, also beyond the idle timeout and when its answer held the memory of others. As many such clients as there are threads, or clients that read 64 bytes at a time, kept every thread, and an ordinary request got no answer. Cause: a connection that is marked to be closed was closed by waitress only once its socket took output, which it never does; and nobody looked at how fast a client reads. Fix: the regular check closes marked connections that have output. It notes the pace of each client, and while requests have waited for a thread for two checks it closes clients under 1 KiB/s over 2 s, as many as wait. Why it works: closing a channel wakes the thread that waits for its output.

--- a/src/toucancourse/ingress/server.py
+++ b/src/toucancourse/ingress/server.py
@@ -70,17 +70,21 @@
         threading.stack_size(THREAD_STACK_BYTES)
         self._pool = ThreadPoolExecutor(threads, 'request')
         self._has_thread = False
+        self._lock = threading.Lock()
+        self._waiting = 0
 
     def add_task(self, task: Any) -> None:
         """Queue a channel's next request.
 
         If no further thread can be started, it waits for one that runs.
         """
+        self._add_waiting(1)
         try:
             self._pool.submit(self._run, task)
         except RuntimeError as error:
             # The pool has queued the task before it starts a thread.
             if not self._has_thread:
+                self._add_waiting(-1)
                 raise
             logger.warning('thread not started', why=repr(error))
         self._has_thread = True
@@ -89,7 +93,16 @@
         """Cancel queued requests and accept no more."""
         self._pool.shutdown(wait=False, cancel_futures=True)
 
+    def count_waiting(self) -> int:
+        """Return the number of requests that wait for a thread."""
+        return self._waiting
+
+    def _add_waiting(self, number: int) -> None:
+        with self._lock:
+            self._waiting += number
+
     def _run(self, task: Any) -> None:
+        self._add_waiting(-1)
         try:
             task.service()
         except Exception:
@@ -123,8 +136,11 @@
         self.idle_seconds = 60.0
         self._free_from = int(limits.connections * OPEN_SHARE)
         unfinished = max(1, int(limits.connections * UNFINISHED_SHARE))
+        dispatcher: Any = PoolDispatcher(limits.threads)
         self.care = ChannelCare(
-            IntakeLimits(limits.held_bytes, unfinished), address
+            IntakeLimits(limits.held_bytes, unfinished),
+            address,
+            dispatcher.count_waiting,
         )
         self.intake = self.care.intake
         self.refusals = self.care.refusals
@@ -145,7 +161,6 @@
             backlog=1024,
             clear_untrusted_proxy_headers=False,
         )
-        dispatcher: Any = PoolDispatcher(limits.threads)
         super().__init__(
             _reject_wsgi,
             _sock=listener,
--- a/src/toucancourse/web/channels.py
+++ b/src/toucancourse/web/channels.py
@@ -40,6 +40,8 @@
 LINGER_SECONDS: Final = 1.0
 #: Time in which a client that reads its answer has read some of it.
 UNREAD_SECONDS: Final = 2.0
+#: Bytes per second of a client that reads its answer.
+MIN_READ_PACE: Final = 1024.0
 
 
 class BoundedChunks(ChunkedReceiver):
@@ -176,6 +178,11 @@
         self.holding = Holding(self._refuse_crowded)
         #: time.monotonic() of the last byte in or out.
         self.last_used = time.monotonic()
+        #: True if the client takes its answer at less than MIN_READ_PACE.
+        self.reads_slowly = False
+        self._sent_bytes = 0
+        self._marked_at = self.last_used
+        self._marked_bytes = 0
 
     def received(self, content: bytes) -> bool:
         """Parse what came; return False if it is dropped."""
@@ -216,6 +223,30 @@
         if self.total_outbufs_len < unsent:
             self.last_used = time.monotonic()
 
+    def send(self, data: bytes, do_close: bool = True) -> int:
+        """Send what the socket takes; return the number of bytes."""
+        sent = int(super().send(data, do_close=do_close))
+        self._sent_bytes += sent
+        return sent
+
+    def note_pace(self, now: float) -> None:
+        """Note at a time of time.monotonic() how fast the client reads."""
+        seconds = now - self._marked_at
+        has_output = self.has_output()
+        if has_output and seconds < UNREAD_SECONDS:
+            return
+        sent = self._sent_bytes - self._marked_bytes
+        self.reads_slowly = has_output and sent < seconds * MIN_READ_PACE
+        self._marked_at = now
+        self._marked_bytes = self._sent_bytes
+
+    def close_now(self) -> None:
+        """Close the connection in the thread of all connections.
+
+        One that is marked to be closed waits until its socket takes output.
+        """
+        self.handle_close()
+
     def handle_close(self) -> None:
         """Close the connection and forget requests that will not be served."""
         # Taken before the close: one that follows gets a thread, and ends.
@@ -374,10 +405,21 @@
 class ChannelCare:
     """What all channels of a server share, and their regular checks."""
 
-    def __init__(self, limits: IntakeLimits, address: str) -> None:
-        """Create it for the memory that the channels of an address share."""
+    def __init__(
+        self,
+        limits: IntakeLimits,
+        address: str,
+        count_waiting: Callable[[], int] = int,
+    ) -> None:
+        """Create it for the memory that the channels of an address share.
+
+        count_waiting returns the number of requests that wait for a thread.
+        """
         self.intake = Intake(limits)
         self._held = HELD.labels(address)
+        self._count_waiting = count_waiting
+        #: How many waited at the check before.
+        self._waited = 0
         self.refusals = RefusalLog()
         #: Time in which the head of a request must arrive.
         self.head_seconds = HEAD_SECONDS
@@ -387,6 +429,16 @@
         now = time.monotonic()
         for channel in channels:
             channel.check_progress(now, self.head_seconds)
+            channel.note_pace(now)
+            if channel.will_close and channel.has_output():
+                channel.close_now()
+        self._free_memory(channels, now)
+        self._free_threads(channels)
+        self.refusals.write()
+        self._held.set(self.intake.used)
+
+    def _free_memory(self, channels: tuple[Any, ...], now: float) -> None:
+        """Close those that read nothing if their answers need the memory."""
         unread = {
             channel: channel.total_outbufs_len
             for channel in channels
@@ -400,10 +452,30 @@
             is_stalled = now - channel.last_used > UNREAD_SECONDS
             if is_stalled and not channel.requests:
                 excess -= unread[channel]
-                channel.will_close = True
-                self.refusals.add('unread_answer')
-        self.refusals.write()
-        self._held.set(self.intake.used)
+                self._close(channel)
+
+    def _free_threads(self, channels: tuple[Any, ...]) -> None:
+        """Close those that hardly read while others wait for their threads.
+
+        As many are closed as have waited since the check before.
+        """
+        waiting = self._count_waiting()
+        needed = min(waiting, self._waited)
+        self._waited = waiting
+        if not needed:
+            return
+        slow = [
+            channel
+            for channel in channels
+            if channel.reads_slowly and channel.requests
+        ]
+        slow.sort(key=lambda channel: channel.last_used)
+        for channel in slow[:needed]:
+            self._close(channel)
+
+    def _close(self, channel: Any) -> None:
+        self.refusals.add('unread_answer')
+        channel.close_now()
 
 
 def _find_code(error: Any) -> str:
--- a/src/toucancourse/web/server.py
+++ b/src/toucancourse/web/server.py
@@ -102,12 +102,15 @@
     held_bytes = max(limits.held_bytes, limits.max_body_bytes * HELD_BODIES)
     unfinished = limits.threads + MAX_QUEUED_CONNECTIONS // 2
     address = f'{listener.effective_host}:{listener.effective_port}'
-    care = ChannelCare(IntakeLimits(held_bytes, unfinished), address)
+    tasks = listener.task_dispatcher.queue
+    care = ChannelCare(
+        IntakeLimits(held_bytes, unfinished), address, lambda: len(tasks)
+    )
     listener.channel_class = BoundedChannel
+    listener.body_copies = limits.body_copies
     listener.intake = care.intake
     listener.refusals = care.refusals
     maintain = listener.maintenance
-    listener.body_copies = limits.body_copies
 
     def check(now: float) -> None:
         maintain(now)
--- a/tests/test_ingress.py
+++ b/tests/test_ingress.py
@@ -20,6 +20,8 @@
 )
 
 TIMEOUT_SECONDS = 5.0
+#: Patience where the server acts at its regular checks.
+PATIENCE_SECONDS = 60.0
 LIMITS = IngressLimits(100, 10, 65_536, 65_536)
 #: The head of a request but for its length.
 HEAD = b'POST /plain HTTP/1.1\r\nHost: a\r\n'
@@ -45,9 +47,12 @@
         )
         self.server.start()
 
-    def connect(self) -> 'Caller':
-        """Return a caller with a connection of its own."""
-        return Caller(self.port)
+    def connect(self, patience: float = TIMEOUT_SECONDS) -> 'Caller':
+        """Return a caller with a connection of its own.
+
+        It waits for so many seconds when it reads.
+        """
+        return Caller(self.port, patience)
 
     def start_drain(self) -> None:
         """Let every response announce that its connection closes."""
@@ -61,6 +66,10 @@
         if request.target == '/large':
             self._fill(response)
             return
+        if request.target == '/endless':
+            response.begin(200, ())
+            while True:
+                response.write(bytes(HIGH_WATERMARK_BYTES))
         if request.target != '/stream':
             response.send(200, (), b'plain')
             return
@@ -86,10 +95,10 @@
 class Caller:
     """A connection on which requests are sent and responses read."""
 
-    def __init__(self, port: int) -> None:
+    def __init__(self, port: int, patience: float) -> None:
         """Connect to a port."""
         address = ('127.0.0.1', port)
-        self._sock = socket.create_connection(address, TIMEOUT_SECONDS)
+        self._sock = socket.create_connection(address, patience)
         self._reader = self._sock.makefile('rb')
 
     def send(self, *targets: str) -> None:
@@ -108,6 +117,11 @@
         with contextlib.suppress(OSError):
             self._sock.sendall(content)
 
+    def read_raw(self, size: int) -> None:
+        """Read some bytes; ignore that the server closed the connection."""
+        with contextlib.suppress(OSError):
+            self._sock.recv(size)
+
     def read_head(self) -> bytes:
         """Return the next head, or what came of it before the end."""
         head = b''
@@ -468,3 +482,49 @@
         wait_until(
             lambda: not ingress.server.intake.used, TIMEOUT_SECONDS, 'release'
         )
+
+
+class TestUnreadAnswers:
+    """Clients that read nothing of their answers, or hardly anything."""
+
+    def test_one_is_closed_though_its_socket_takes_nothing(
+        self, ingress: Ingress
+    ) -> None:
+        ingress.server.idle_seconds = 0.5
+        caller = ingress.connect()
+        caller.send('/large')
+        assert ingress.is_filled.wait(TIMEOUT_SECONDS)
+        wait_until(
+            lambda: not ingress.server.count_open(), PATIENCE_SECONDS, 'close'
+        )
+        caller.close()
+
+    @pytest.mark.parametrize('read_bytes', [0, 64])
+    def test_others_get_their_threads(
+        self, ingress: Ingress, read_bytes: int
+    ) -> None:
+        callers = [ingress.connect() for _ in range(LIMITS.threads)]
+        for caller in callers:
+            caller.send('/endless')
+        is_over = threading.Event()
+        reader = threading.Thread(
+            target=_read_slowly, args=(callers, read_bytes, is_over)
+        )
+        reader.start()
+        other = ingress.connect(PATIENCE_SECONDS)
+        other.send('/plain')
+        head = other.read_head()
+        is_over.set()
+        reader.join()
+        for caller in callers:
+            caller.close()
+        assert b'200 OK' in head
+
+
+def _read_slowly(
+    callers: list[Caller], size: int, is_over: threading.Event
+) -> None:
+    """Read some bytes of each answer ten times a second, or none."""
+    while not is_over.wait(0.1):
+        for caller in callers:
+            caller.read_raw(size)
