Leave threads to other requests beside streams

Cause: a stream holds a thread until it ends, and any number may run. In front of the relay the stream beyond the slots is refused unsent.

--- a/src/toucancourse/daemon/entry.py
+++ b/src/toucancourse/daemon/entry.py
@@ -11,6 +11,7 @@
 from ..admin.changes import ChangeSubmitter
 from ..admin.routes import AdminHandler
 from ..admission.limits import ContractLimits, RetryBudget
+from ..admission.slots import StreamSlots
 from ..billing import claims as claim_items
 from ..billing.ledger import Ledger
 from ..billing.reclaim import AllowanceReclaimer
@@ -144,12 +145,18 @@
         )
         metrics = ChatMetrics()
         pins = ConversationPins(self._appender, self._followers.claims)
+        threads = settings.get_integer(SECTION, 'threads')
         max_body_bytes = settings.get_integer(SECTION, 'max_body_bytes')
         self._caller_application = CallerApplication(
             core.configuration,
             core.health,
             ChatHandler(
-                self.context, pins, self._sampler, metrics, self._levels
+                self.context,
+                pins,
+                self._sampler,
+                metrics,
+                self._levels,
+                StreamSlots(threads),
             ),
             ServiceHandler(self.context, self.claims, metrics),
             max_body_bytes,
@@ -158,7 +165,7 @@
             self._caller_application,
             (settings.get_text(SECTION, 'caller_address'),),
             ServerLimits(
-                settings.get_integer(SECTION, 'threads'),
+                threads,
                 max_body_bytes,
                 settings.get_integer(SECTION, 'idle_caller_seconds'),
                 settings.get_integer(SECTION, 'request_memory_bytes'),
--- a/src/toucancourse/daemon/node.py
+++ b/src/toucancourse/daemon/node.py
@@ -12,6 +12,7 @@
 from loguru import logger
 
 from ..admission.limits import WindowBudget
+from ..admission.slots import StreamSlots
 from ..errors import CourseError
 from ..forwarding.admission import MAX_PROOF_AGE_SHARE, Admission
 from ..forwarding.buffers import ResponseBuffers
@@ -237,6 +238,7 @@
                 prefill=prefill,
                 quarantine=self._quarantine,
                 startup=self._startup,
+                streams=StreamSlots(_count_threads(settings)),
                 find_retry_budget=self._budgets.__getitem__,
                 find_fleet_share=self._entries.find_fleet_share,
                 find_proof_age=self._operator_feed.proof_age,
@@ -353,16 +355,12 @@
 
     def _build_servers(self, listener: socket | None) -> None:
         settings = self._settings
-        threads = min(
-            MAX_REQUEST_THREADS,
-            int(settings.memory_mb / 2 / MEMORY_PER_REQUEST_MB),
-        )
         self._ingress = IngressServer(
             self._relay.serve,
             settings.callers,
             IngressLimits(
                 max(100, settings.descriptors - RESERVED_DESCRIPTORS),
-                threads,
+                _count_threads(settings),
                 MAX_HEADER_BYTES,
                 MAX_BODY_BYTES,
                 max(
@@ -514,6 +512,12 @@
                 self._ingress.care.head_seconds = table.limits.head_seconds
 
 
+def _count_threads(settings: NodeSettings) -> int:
+    """Return the number of requests that are served at the same time."""
+    threads = int(settings.memory_mb / 2 / MEMORY_PER_REQUEST_MB)
+    return min(MAX_REQUEST_THREADS, threads)
+
+
 def _start_thread(target: Callable[[], None]) -> threading.Thread:
     thread = threading.Thread(target=target, daemon=True)
     thread.start()
--- a/src/toucancourse/delivery/chat.py
+++ b/src/toucancourse/delivery/chat.py
@@ -3,6 +3,7 @@
 import time
 from collections.abc import Iterable
 
+from ..admission.slots import StreamSlots
 from ..billing.ledger import SpendHold
 from ..contract.state import State
 from ..errors import CourseError, SpendError
@@ -31,9 +32,11 @@
         sampler: RatingSampler,
         metrics: ChatMetrics,
         levels: LevelRecorder,
+        streams: StreamSlots,
     ) -> None:
         """Create the handler and its retry loop and response relay."""
         self._context = context
+        self._streams = streams
         self._pins = pins
         self._sampler = sampler
         self._recorder = OutcomeRecorder(context, sampler, metrics, levels)
@@ -60,7 +63,10 @@
             request, body.get('metadata') or {}, caller, context.request_seconds
         )
         entries = context.count_entries()
-        with context.limits.admit(caller.customer, caller.contract, entries):
+        with (
+            context.limits.admit(caller.customer, caller.contract, entries),
+            self._streams.admit(is_stream=bool(body.get('stream'))),
+        ):
             pinned_version = self._find_pinned_version(caller, options)
             request_id, sequence = context.ledger.create_request_id()
             exchange = Exchange(
--- a/src/toucancourse/forwarding/context.py
+++ b/src/toucancourse/forwarding/context.py
@@ -4,6 +4,7 @@
 from typing import NamedTuple
 
 from ..admission.limits import WindowBudget
+from ..admission.slots import StreamSlots
 from ..membership.startup import StartupBarrier
 from ..routing.endpoints import Outliers
 from .admission import Admission
@@ -28,6 +29,7 @@
     prefill: PrefillEstimator
     quarantine: Quarantine
     startup: StartupBarrier
+    streams: StreamSlots
     #: Service name -> its retry budget.
     find_retry_budget: Callable[[str], WindowBudget]
     #: Returns this entry's share of what all entries may use together.
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -147,8 +147,10 @@
         """
         admitted = self._admit()
         self._models = list_models(admitted.route, self._call)
+        is_stream = admitted.route.kind is RouteKind.stream
         try:
-            self._run_attempts()
+            with self._context.streams.admit(is_stream=is_stream):
+                self._run_attempts()
         finally:
             self._keeper.drop()
 
--- a/tests/forwarding.py
+++ b/tests/forwarding.py
@@ -11,6 +11,7 @@
 from standins.operator_config import HOST, KEY, make_operator_config
 from standins.replica import Replica
 from toucancourse.admission.limits import WindowBudget
+from toucancourse.admission.slots import StreamSlots
 from toucancourse.errors import CourseError, LogDownError
 from toucancourse.forwarding.admission import Admission
 from toucancourse.forwarding.connections import ConnectionPool
@@ -37,6 +38,8 @@
 
 #: How often a request is sent that a starved endpoint does not get in time.
 MAX_SENDS = 5
+#: Threads of an entry in front of the relay.
+THREADS = 450
 
 
 class RecordedResponse(ResponseWriter):
@@ -162,6 +165,7 @@
         selector = EndpointSelector(
             'zone-a', self.outliers, prefill, lambda *_: 2.0, self.loads
         )
+        self.streams = StreamSlots(THREADS)
         self.relay = Relay(
             RelayContext(
                 codec=codec,
@@ -175,6 +179,7 @@
                 prefill=prefill,
                 quarantine=self.quarantine,
                 startup=StartupBarrier(self.reads),
+                streams=self.streams,
                 find_retry_budget=lambda _: self.budget,
                 find_fleet_share=lambda: 1.0,
                 find_proof_age=lambda: self.proof_age,
