Try every kind of body at the product's own interface

Cause: three of the seven kinds that the users name were not tried there, nor any at the addresses of administration, health and readiness. Change: the three kinds are cases of TestOwnInterface, with the same bound.

--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -117,7 +117,16 @@
     """The same crowds at the interface that is the product's own."""
 
     @pytest.mark.parametrize(
-        'kind', [ChunkedClient, SmallChunksClient, EndlessClient, WholeClient]
+        'kind',
+        [
+            ChunkedClient,
+            SmallChunksClient,
+            AnnouncedClient,
+            EndlessClient,
+            WholeClient,
+            PiecesClient,
+            CompleteClient,
+        ],
     )
     def test_entry_bears_it(self, kind: type[Client]) -> None:
         overrides = {'entry': {'request_memory_bytes': OWN_MEMORY_BYTES}}
