--- a/tests/crowds.py
+++ b/tests/crowds.py
@@ -342,6 +342,18 @@
         return b''
 
 
+#: Every kind of body that the users named.
+BODY_CLIENTS: Final = (
+    ChunkedClient,
+    SmallChunksClient,
+    AnnouncedClient,
+    EndlessClient,
+    WholeClient,
+    PiecesClient,
+    CompleteClient,
+)
+
+
 @contextlib.contextmanager
 def send_crowd(target: CrowdTarget, kind: type[Client]) -> Iterator[None]:
     """Let a crowd send at once; its connections stay open meanwhile."""
--- a/tests/test_hostile_clients.py
+++ b/tests/test_hostile_clients.py
@@ -13,6 +13,7 @@
 from .crowds import (
     ANSWER_SECONDS,
     BODY_BYTES,
+    BODY_CLIENTS,
     DESCRIPTORS,
     LARGE_CHUNK_BYTES,
     LAST_CHUNK,
@@ -22,19 +23,14 @@
     OWN_GROWTH_MB,
     OWN_MEMORY_BYTES,
     SMALLEST_MEMORY_MB,
-    AnnouncedClient,
     ChunkedClient,
     Client,
-    CompleteClient,
     CrowdTarget,
-    EndlessClient,
     Entry,
     HeadClient,
     ManyHeadersClient,
-    PiecesClient,
     ProcessView,
     SilentClient,
-    SmallChunksClient,
     WholeClient,
     send_crowd,
 )
@@ -54,18 +50,7 @@
 
     @pytest.mark.parametrize(
         'kind',
-        [
-            ChunkedClient,
-            SmallChunksClient,
-            AnnouncedClient,
-            EndlessClient,
-            WholeClient,
-            PiecesClient,
-            CompleteClient,
-            ManyHeadersClient,
-            HeadClient,
-            SilentClient,
-        ],
+        [*BODY_CLIENTS, ManyHeadersClient, HeadClient, SilentClient],
     )
     def test_entry_bears_it(self, entry: Entry, kind: type[Client]) -> None:
         process = entry.target.process
@@ -116,18 +101,7 @@
 class TestOwnInterface:
     """The same crowds at the interface that is the product's own."""
 
-    @pytest.mark.parametrize(
-        'kind',
-        [
-            ChunkedClient,
-            SmallChunksClient,
-            AnnouncedClient,
-            EndlessClient,
-            WholeClient,
-            PiecesClient,
-            CompleteClient,
-        ],
-    )
+    @pytest.mark.parametrize('kind', BODY_CLIENTS)
     def test_entry_bears_it(self, kind: type[Client]) -> None:
         overrides = {'entry': {'request_memory_bytes': OWN_MEMORY_BYTES}}
         with SmallFleet(('e1',), **overrides) as fleet:
