Ask a larger model only where a request may run twice

What callers saw: nothing. A stream on a route with "sizes" and without "streamResumption" ran at the endpoints twice if the smallest model was unsure of its answer; such a stream may run once at most (TWICE).

Cause: ForwardedRequest._escalate checked the route's maximum of executions and not whether the route allows a second one. Every other second execution went through _can_repeat, which does.

Change: ExecutionLimit counts a request's attempts and decides on every further execution, so that no caller of it can forget the route. Routes that may repeat ask the larger model as before, with the same limit.

--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -29,6 +29,7 @@
 from .context import RelayContext
 from .escalation import Escalation, EscalationLimits
 from .events import EventSplitter
+from .executions import ExecutionLimit
 from .keeping import (
     KeptResponse,
     ResponseKeeper,
@@ -47,8 +48,6 @@
 from .responses import CallerGoneError, ResponseWriter
 from .retries import RetryAllowance
 
-#: Maximum attempts of a request, including those that did not execute it.
-MAX_ATTEMPTS: Final = 4
 #: Time before the deadline that is reserved to return the response.
 RESPONSE_MARGIN_SECONDS: Final = 0.02
 #: Remaining time below which no attempt is started.
@@ -117,10 +116,7 @@
         self._failed: set[str] = set()
         #: Identifier of the endpoint of the newest attempt.
         self._last_endpoint = ''
-        #: Attempts that an endpoint executed or may have executed.
-        self._executions = 0
-        #: All attempts.
-        self._attempts = 0
+        self._limit = ExecutionLimit()
         self._last_event = call.last_event
         #: True once the response head was forwarded to the caller.
         self._has_started = False
@@ -172,7 +168,10 @@
     def log_result(self, error: CourseError | None) -> None:
         """Log the request's result and update the metrics."""
         result = RequestResult(
-            self._status, self._attempts, self._executions, self._first_event
+            self._status,
+            self._limit.attempts,
+            self._limit.executions,
+            self._first_event,
         )
         log_result(self._context, self._call, self._admitted, result, error)
 
@@ -256,7 +255,7 @@
             self._call, admitted, model, self._tried, failed
         )
         self._next_choice = None
-        if not self._attempts:
+        if not self._limit.attempts:
             self._context.admission.check_load(
                 self._call, admitted, choice, self._cutoff
             )
@@ -320,7 +319,7 @@
         record = endpoint.record
         self._tried.add(record.identifier)
         self._last_endpoint = record.identifier
-        self._attempts += 1
+        self._limit.attempts += 1
         now = time.monotonic()
         remaining = self._cutoff - now
         if remaining < MIN_REMAINING_SECONDS:
@@ -338,7 +337,7 @@
             rank=choice.rank,
             last_event=self._last_event,
         )
-        log_attempt(self._call, choice, model, self._attempts)
+        log_attempt(self._call, choice, model, self._limit.attempts)
         try:
             exchange = self._context.connections.open(record, self._call)
         except NotSentError:
@@ -363,7 +362,7 @@
         Raises NotSentError, SilentError, EndpointError, RejectedError.
         """
         exchange = attempt.exchange
-        self._executions += 1
+        self._limit.executions += 1
         patience = None
         if self._can_repeat():
             patience = find_head_patience(
@@ -384,7 +383,7 @@
         try:
             exchange.send(attempt.options, until)
         except NotSentError:
-            self._executions -= 1
+            self._limit.executions -= 1
             raise
         attempt.wait_for_data(
             patience,
@@ -407,7 +406,7 @@
             if head.misdirected:
                 endpoint.record_unreachable()
             attempt.read_refusal(self._cutoff)
-            self._executions -= 1
+            self._limit.executions -= 1
             raise RejectedError(
                 f'endpoint "{endpoint.record.identifier}" returned status '
                 f'{head.status} without executing the request'
@@ -418,13 +417,7 @@
     def _can_repeat(self) -> bool:
         """Return True if the request may be sent once more."""
         assert self._admitted is not None
-        route = self._admitted.route
-        may_execute = not self._executions or route.is_repeatable()
-        return (
-            may_execute
-            and self._executions < route.max_executions
-            and self._attempts < MAX_ATTEMPTS
-        )
+        return self._limit.may_retry(self._admitted.route)
 
     def _forward_response(
         self, attempt: Attempt, head: ResponseHead, in_flight: InFlightRequest
@@ -547,7 +540,7 @@
         endpoint of the newest attempt.
         """
         assert self._admitted is not None
-        if self._executions >= self._admitted.route.max_executions:
+        if not self._limit.may_execute(self._admitted.route):
             return False
         larger = self._escalation.choose(
             self._admitted,
@@ -612,12 +605,12 @@
         if self._has_started:
             self._response.abort()
             raise EndpointError(f'the stream was interrupted: {error.text}')
-        error = self._context.shutdown.explain(error, self._executions)
+        error = self._context.shutdown.explain(error, self._limit.executions)
         if isinstance(error, SilentError) and self._is_late():
             raise LateEndpointError(
                 f'no response before the deadline: {error.text}'
             )
-        if self._executions and error.outcome is Outcome.not_run:
+        if self._limit.executions and error.outcome is Outcome.not_run:
             if isinstance(error, DeadlineError):
                 raise LateEndpointError(error.text)
             raise EndpointError(error.text)
--- a/src/toucancourse/platform/checks.py
+++ b/src/toucancourse/platform/checks.py
@@ -3,8 +3,8 @@
 from collections.abc import Collection, Iterable, Iterator
 
 from ..errors import DECODE_ERRORS
+from ..forwarding.executions import MAX_ATTEMPTS
 from ..forwarding.objects import RoutingTable
-from ..forwarding.relay import MAX_ATTEMPTS
 from .fields import LIMITS, TIMES, check_structure
 from .findings import Finding, Item, Level
 from .lines import LocatedObject, decode_located
