Decide on a second execution by the newest route

What callers saw: nothing or a late answer. A request ran twice although the configuration in force forbade it, if that took effect while the first execution was under way and its endpoint then failed, fell silent or was unsure of its answer.

Cause: ExecutionLimit and, before it, _can_repeat were asked with the route as it was at the start of the newest attempt. The route was refreshed only in the next attempt, when the decision had been made.

Change: the route is refreshed before each decision, and a request that one of its revisions lets run once stays so. Without the second half, a refresh would let a request that was sent as "unsafe" run again once its route became "safe"; two tests hold that.

TestFailures plays each fault of the stand-in on three routes that may run once: one run each, before and after.

--- a/src/toucancourse/forwarding/executions.py
+++ b/src/toucancourse/forwarding/executions.py
@@ -21,13 +21,24 @@
         self.attempts = 0
         #: Attempts that an endpoint executed or may have executed.
         self.executions = 0
+        self._max_executions = 1
+        self._is_repeatable = True
 
-    def may_execute(self, route: Route) -> bool:
+    def apply_route(self, route: Route) -> None:
+        """Use a route, or a newer revision of it, from now on.
+
+        A request that may be executed once by any revision that it met stays
+        so: an endpoint may have executed it under that one.
+        """
+        self._max_executions = route.max_executions
+        self._is_repeatable = self._is_repeatable and route.is_repeatable()
+
+    def may_execute(self) -> bool:
         """Return True if an endpoint may execute the request now."""
-        if self.executions and not route.is_repeatable():
+        if self.executions and not self._is_repeatable:
             return False
-        return self.executions < route.max_executions
+        return self.executions < self._max_executions
 
-    def may_retry(self, route: Route) -> bool:
+    def may_retry(self) -> bool:
         """Return True if the request may be sent again after a failure."""
-        return self.may_execute(route) and self.attempts < MAX_ATTEMPTS
+        return self.may_execute() and self.attempts < MAX_ATTEMPTS
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -183,6 +183,7 @@
             self._context.find_proof_age,
         )
         self._admitted = admitted
+        self._limit.apply_route(admitted.route)
         self._cutoff = self._call.deadline - RESPONSE_MARGIN_SECONDS
         if admitted.route.timeout:
             timeout = self._call.received + admitted.route.timeout
@@ -199,6 +200,7 @@
         assert self._admitted is not None
         admission = self._context.admission
         self._admitted = admission.refresh_route(self._call, self._admitted)
+        self._limit.apply_route(self._admitted.route)
         return self._admitted
 
     def _run_attempt(self) -> bool:
@@ -292,7 +294,10 @@
         """Return an endpoint and charge the retry budget; raise CourseError."""
         if self._is_late() or not self._retries.are_left():
             raise UnavailableError('no time or no retry is left')
-        choice = self._select_endpoint(self._refresh_route(), model, failed)
+        admitted = self._refresh_route()
+        if not self._limit.may_retry():
+            raise UnavailableError('the route allows no further execution')
+        choice = self._select_endpoint(admitted, model, failed)
         if not self._retries.spend():
             raise UnavailableError('no retry is left')
         return choice
@@ -364,7 +369,7 @@
         exchange = attempt.exchange
         self._limit.executions += 1
         patience = None
-        if self._can_repeat():
+        if self._limit.may_retry():
             patience = find_head_patience(
                 attempt.route,
                 self._context.metrics.find_mean_seconds(
@@ -414,11 +419,6 @@
         endpoint.record_response()
         return head
 
-    def _can_repeat(self) -> bool:
-        """Return True if the request may be sent once more."""
-        assert self._admitted is not None
-        return self._limit.may_retry(self._admitted.route)
-
     def _forward_response(
         self, attempt: Attempt, head: ResponseHead, in_flight: InFlightRequest
     ) -> bool:
@@ -475,7 +475,7 @@
         exchange = attempt.exchange
         endpoint = attempt.choice.endpoint
         patience = None
-        if self._can_repeat():
+        if self._limit.may_retry():
             patience = find_event_patience(self._admitted.route)
         progressed_at = time.monotonic()
         # Until when the event that is being received must end.
@@ -539,11 +539,11 @@
         Returns True if so; the next attempt asks that model, maybe at the
         endpoint of the newest attempt.
         """
-        assert self._admitted is not None
-        if not self._limit.may_execute(self._admitted.route):
+        admitted = self._refresh_route()
+        if not self._limit.may_execute():
             return False
         larger = self._escalation.choose(
-            self._admitted,
+            admitted,
             self._models,
             head.confidence,
             EscalationLimits(
@@ -590,7 +590,8 @@
             return True
         if not isinstance(error, _RETRYABLE):
             return False
-        if self._is_late() or not self._can_repeat():
+        self._refresh_route()
+        if self._is_late() or not self._limit.may_retry():
             return False
         if isinstance(error, NotSentError):
             return True
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -1,16 +1,24 @@
 """Requests that may run once are executed once, whatever asks for more."""
 
 import json
-from collections.abc import Iterator
+import threading
+import time
+from collections import Counter
+from collections.abc import Callable, Iterator
 from typing import Any
 
 import pytest
 
 from standins.operator_config import make_operator_config
+from standins.replica import FAULTS
+from toucancourse.forwarding.patience import Patience
 
-from .forwarding import RelayHarness
+from .forwarding import RecordedResponse, RelayHarness
 from .test_relay import find_ids
 
+#: How long endpoints wait before they answer, so that a route changes first.
+CHANGE_SECONDS = 0.4
+
 
 @pytest.fixture
 def relay() -> Iterator[RelayHarness]:
@@ -22,6 +30,17 @@
     relay.close()
 
 
+@pytest.fixture
+def impatient(monkeypatch: pytest.MonkeyPatch) -> None:
+    """Replace silent endpoints after half of their wait."""
+    for name in ('find_event_patience', 'find_head_patience'):
+        patience = Patience(CHANGE_SECONDS / 2, CHANGE_SECONDS / 2)
+        monkeypatch.setattr(
+            f'toucancourse.forwarding.relay.{name}',
+            lambda *_, patience=patience: patience,
+        )
+
+
 def change_route(relay: RelayHarness, name: str, **changes: Any) -> None:
     """Apply a configuration in which one route differs from the default."""
     table = relay.operators.table
@@ -33,6 +52,23 @@
     relay.operators.apply('config', json.dumps(config).encode())
 
 
+def change_while_running(
+    relay: RelayHarness, name: str, **changes: Any
+) -> None:
+    """Change a route as soon as an endpoint executes a request."""
+
+    def wait_and_change() -> None:
+        while not relay.runs():
+            time.sleep(0.005)
+        change_route(relay, name, **changes)
+
+    for replica in relay.replicas:
+        replica.model_delays = dict.fromkeys(
+            ('', 'small', 'large'), CHANGE_SECONDS
+        )
+    threading.Thread(target=wait_and_change, daemon=True).start()
+
+
 def list_models(relay: RelayHarness) -> list[str]:
     """Return the models of the executed requests, in any order."""
     return sorted(run['headers']['X-Model'] for run in relay.runs())
@@ -68,3 +104,155 @@
         change_route(relay, 'auto', maxAttempts=1)
         assert relay.send('/auto/x').is_finished
         assert len(relay.runs()) == 1
+
+
+class TestFailures:
+    """No failure of an endpoint makes a request that may run once run twice."""
+
+    @pytest.mark.parametrize('fault', FAULTS)
+    @pytest.mark.parametrize('path', ['/book/x', '/draft/x', '/auto/x'])
+    def test_failed_request_is_not_repeated(
+        self, relay: RelayHarness, path: str, fault: str
+    ) -> None:
+        change_route(relay, path.split('/')[1], streamResumption=False)
+        for replica in relay.replicas:
+            replica.fault = fault
+            replica.break_off_at = 300
+        # Some faults need a connection that was used before.
+        for _ in range(3):
+            relay.send(path, deadline_ms=300)
+        runs = Counter(run['call'] for run in relay.runs())
+        assert set(runs.values()) <= {1}
+
+    # Guards against a run that goes on elsewhere from the last event.
+    def test_stream_that_may_run_once_is_not_resumed(
+        self, relay: RelayHarness
+    ) -> None:
+        change_route(relay, 'draft', streamResumption=False)
+        for replica in relay.replicas:
+            replica.cut_at = 3
+        response = relay.send('/draft/x')
+        assert find_ids(response) == [1, 2]
+        assert response.is_aborted
+        assert len(relay.runs()) == 1
+
+    # Guards against a successor of an endpoint that only pauses.
+    def test_silent_endpoint_is_not_replaced(
+        self, relay: RelayHarness, impatient: None
+    ) -> None:
+        change_route(relay, 'draft', streamResumption=False)
+        for replica in relay.replicas:
+            replica.preempt_at = 3
+            replica.preempt_seconds = CHANGE_SECONDS
+        response = relay.send('/draft/x')
+        assert response.is_finished
+        assert len(relay.runs()) == 1
+
+
+class ChangingResponse(RecordedResponse):
+    """Changes the configuration after the first part of the body."""
+
+    def __init__(self, change: Callable[[], None]) -> None:
+        """Create a response that calls change() once."""
+        super().__init__()
+        self._change: Callable[[], None] | None = change
+
+    def write(self, content: bytes) -> None:
+        """Record part of the body."""
+        super().write(content)
+        change, self._change = self._change, None
+        if change is not None:
+            change()
+
+
+class TestRouteChanges:
+    """All revisions of a route that a request meets must allow a second run."""
+
+    # Guards against retries by the route as it was when the attempt began.
+    @pytest.mark.parametrize(
+        ('path', 'changes'),
+        [
+            ('/look/x', {'kind': 'unsafe'}),
+            ('/draft/x', {'streamResumption': False}),
+            ('/draft/x', {'maxAttempts': 1}),
+        ],
+    )
+    def test_failed_request_follows_the_newest_route(
+        self, relay: RelayHarness, path: str, changes: dict[str, Any]
+    ) -> None:
+        for replica in relay.replicas:
+            replica.fault = 'close'
+        change_while_running(relay, path.split('/')[1], **changes)
+        error = relay.send(path).error
+        assert error is not None
+        assert error.status == 502
+        assert len(relay.runs()) == 1
+
+    # Guards against a second run of what could run once when it was sent.
+    @pytest.mark.parametrize(
+        ('path', 'before', 'after'),
+        [
+            ('/book/x', {'maxAttempts': 2}, {'kind': 'safe', 'maxAttempts': 2}),
+            (
+                '/draft/x',
+                {'streamResumption': False},
+                {'streamResumption': True},
+            ),
+        ],
+    )
+    def test_failed_request_keeps_the_limit_that_it_was_sent_under(
+        self,
+        relay: RelayHarness,
+        path: str,
+        before: dict[str, Any],
+        after: dict[str, Any],
+    ) -> None:
+        name = path.split('/')[1]
+        change_route(relay, name, **before)
+        for replica in relay.replicas:
+            replica.fault = 'close'
+        change_while_running(relay, name, **after)
+        assert relay.send(path).error is not None
+        assert len(relay.runs()) == 1
+
+    # Guards against a larger model's run after the route has forbidden it.
+    def test_unsure_answer_is_forwarded(self, relay: RelayHarness) -> None:
+        calm = {'targetLatencyMs': 3000, 'timeoutMs': 9000}
+        change_route(relay, 'auto', **calm)
+        change_while_running(relay, 'auto', streamResumption=False, **calm)
+        response = relay.send('/auto/x', deadline_ms=9000)
+        assert response.is_finished
+        assert list_models(relay) == ['small']
+
+    def test_broken_stream_is_not_resumed(self, relay: RelayHarness) -> None:
+        for replica in relay.replicas:
+            replica.cut_at = 3
+            replica.on_cut = lambda: change_route(
+                relay, 'draft', streamResumption=False
+            )
+        response = relay.send('/draft/x')
+        assert find_ids(response) == [1, 2]
+        assert response.is_aborted
+        assert len(relay.runs()) == 1
+
+    def test_endpoint_that_pauses_is_waited_for(
+        self, relay: RelayHarness, impatient: None
+    ) -> None:
+        for replica in relay.replicas:
+            replica.preempt_at = 3
+            replica.preempt_seconds = CHANGE_SECONDS
+        response = ChangingResponse(
+            lambda: change_route(relay, 'draft', streamResumption=False)
+        )
+        relay.send('/draft/x', response=response)
+        assert response.is_finished
+        assert find_ids(response) == [1, 2, 3, 4]
+        assert len(relay.runs()) == 1
+
+    def test_endpoint_that_has_not_begun_is_waited_for(
+        self, relay: RelayHarness, impatient: None
+    ) -> None:
+        change_while_running(relay, 'draft', streamResumption=False)
+        response = relay.send('/draft/x')
+        assert response.is_finished
+        assert len(relay.runs()) == 1
