Look up the rule again before a service's call is repeated

What callers saw: nothing. A call of a service at the product's own interface ran twice although the operator had withdrawn the rule that allows repeating it, if its reply was lost after that.

Change: a call that may have run needs a matching rule in the configuration in force as well. Calls that did not run are sent again as before, and so are those whose rule stands; a test holds that.

--- a/src/toucancourse/delivery/services.py
+++ b/src/toucancourse/delivery/services.py
@@ -9,6 +9,7 @@
 from ..billing.claims import Claim
 from ..billing.ledger import SpendHold, today
 from ..billing.spend import Line
+from ..contract.objects import ServiceBody
 from ..contract.state import State
 from ..errors import (
     CourseError,
@@ -149,7 +150,7 @@
     def _run_unclaimed(self, call: ServiceCall) -> StoredResponse:
         """Run a call without claiming a key and return the response.
 
-        A call that may have run is retried only if it is idempotent.
+        A call that may have run is retried only while a rule allows it.
         """
         last_error: CourseError = _make_unavailable_error(call)
         may_have_run = False
@@ -168,10 +169,24 @@
                     may_have_run |= error.outcome is not Outcome.not_run
                     if may_have_run:
                         error.outcome = Outcome.unknown
-                    if not _may_retry(call, error):
+                    if not self._may_retry(call, error):
                         raise
         raise last_error
 
+    def _may_retry(self, call: ServiceCall, error: CourseError) -> bool:
+        """Return True if a failed call may be sent once more.
+
+        One that may have run needs a rule now and at its arrival.
+        """
+        if error.outcome is Outcome.not_run:
+            return True
+        body = self._context.configuration.state.service(call.service)
+        return (
+            call.idempotent
+            and body is not None
+            and _has_rule(body, call.method, call.target)
+        )
+
     def _run_claimed(self, call: ServiceCall) -> tuple[StoredResponse, bool]:
         """Claim the key and run the call unless another request did.
 
@@ -258,10 +273,6 @@
         return _read_response(attempt, end)
 
 
-def _may_retry(call: ServiceCall, error: CourseError) -> bool:
-    return call.idempotent or error.outcome is Outcome.not_run
-
-
 def _make_timeout_error(attempt: Attempt) -> CourseError:
     """Return an error that says whether the call may have run."""
     if attempt.sent:
@@ -293,10 +304,19 @@
     method: str,
     path: str,
 ) -> bool:
-    """Return True if a rule "METHOD PATH_PREFIX" allows repeating a call."""
+    """Return True if a rule of a service allows repeating a call.
+
+    Raises NotFoundError if there is no such service.
+    """
     body = state.service(service)
     if body is None:
         raise NotFoundError(f'service "{service}" does not exist')
+    return _has_rule(body, method, path)
+
+
+def _has_rule(body: ServiceBody, method: str, target: str) -> bool:
+    """Return True if a rule "METHOD PATH_PREFIX" matches a call."""
+    path = target.partition('?')[0]
     for rule in body['repeatable']:
         rule_method, _, prefix = rule.partition(' ')
         if method == rule_method and path.startswith(prefix):
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -120,6 +120,16 @@
             timeout,
         )
 
+    def look_up(self, path: str, entry: str = 'e1') -> Response:
+        """Send a GET request to the booking service."""
+        return call(
+            self.daemons[entry].caller_address,
+            'GET',
+            f'/v1/services/booking/{path}',
+            None,
+            {'Authorization': f'Bearer {CHIKUGO_KEY}'},
+        )
+
     def bill(self, customer: str = 'chikugo', entry: str = 'e1') -> Any:
         """Return a customer's bill of today."""
         return self.admin(entry, 'GET', f'/bills/{customer}').json()
--- a/tests/test_promises_delivery.py
+++ b/tests/test_promises_delivery.py
@@ -12,7 +12,7 @@
 
 from standins.calls import Response, call, wait_until
 
-from .fleet import SmallFleet
+from .fleet import SERVICES, SmallFleet
 
 NOT_RUN = 'not_run'
 
@@ -248,6 +248,40 @@
         assert count_executions(fleet, {'old': 1}) == 1
 
 
+class TestWithdrawnRule:
+    """A rule that allows repeating a call is withdrawn while the call runs."""
+
+    # Guards against a second run by the rules at the call's arrival.
+    def test_lost_reply_is_not_asked_for_again(self, fleet: SmallFleet) -> None:
+        service = fleet.services['b1']
+        call(service, 'POST', '/fault', {'delay_seconds': 2, 'lose_replies': 1})
+        thread, results = run_in_background(
+            lambda: fleet.look_up('sheets/withdrawn')
+        )
+
+        def count_runs() -> int:
+            paths = [row['path'] for row in fleet.service_rows()]
+            return paths.count('/sheets/withdrawn')
+
+        try:
+            wait_until(count_runs, 10, 'the run')
+            fleet.apply('e1', 'service/booking', {'repeatable': []})
+            thread.join()
+        finally:
+            call(service, 'POST', '/fault', {'delay_seconds': 0})
+            fleet.apply('e1', 'service/booking', SERVICES['booking'])
+        assert read_outcome(results[0]) == 'unknown'
+        assert count_runs() == 1
+
+    def test_lost_reply_is_asked_for_again_by_the_rule(
+        self, fleet: SmallFleet
+    ) -> None:
+        call(fleet.services['b1'], 'POST', '/fault', {'lose_replies': 1})
+        assert fleet.look_up('sheets/kept').status == 200
+        paths = [row['path'] for row in fleet.service_rows()]
+        assert paths.count('/sheets/kept') == 2
+
+
 class TestCompleteResponse:
     """A caller gets the complete response to its own request."""
 
