Ask the largest model first where only one may be asked

What callers saw, after the larger model's second run was ended: the smallest model's answer to each request, sure or not.

Cause: the cascade begins with the smallest model because a poor answer can be replaced. Where a request may run once it can't.

Change: a request that may run once asks the largest model first, unless that one is predicted to miss the objective; then the smallest is asked. The rule is the one that decides on a larger model elsewhere, with the worth of a late answer in place of the confidence. Routes that may repeat ask the smallest model first, as before.

Three tests of TestFirstModel failed before and pass; three hold what was so before.

--- a/src/toucancourse/forwarding/models.py
+++ b/src/toucancourse/forwarding/models.py
@@ -10,6 +10,9 @@
 #: The same if the larger model would miss the objective: a late response is
 #: worth about a third of a timely one and delays other requests.
 MIN_LATE_CONFIDENCE: Final = 0.2
+#: Confidence that stands for the smallest model's where an answer can't be
+#: replaced once it is known: as much as a late response is worth.
+UNCHECKED_CONFIDENCE: Final = MIN_LATE_CONFIDENCE
 #: Share of the time to the objective, needed by the larger model's first event,
 #: above which the required confidence is lowered.
 PRESSURE_START_SHARE: Final = 0.25
--- a/src/toucancourse/forwarding/relay.py
+++ b/src/toucancourse/forwarding/relay.py
@@ -37,7 +37,7 @@
     find_wait_seconds,
 )
 from .messages import RawRequest
-from .models import ModelCascade, list_models
+from .models import UNCHECKED_CONFIDENCE, ModelCascade, list_models
 from .objects import AttemptOptions, Call, ResponseHead, RouteKind
 from .patience import (
     find_event_patience,
@@ -143,6 +143,7 @@
         """
         admitted = self._admit()
         self._models = list_models(admitted.route, self._call)
+        self._choose_first_model(admitted)
         is_stream = admitted.route.kind is RouteKind.stream
         try:
             with self._context.streams.admit(is_stream=is_stream):
@@ -150,6 +151,21 @@
         finally:
             self._keeper.drop()
 
+    def _choose_first_model(self, admitted: AdmittedRequest) -> None:
+        """Ask the largest model first if it can't be asked after another one.
+
+        The smallest one is asked only if the largest would be late.
+        """
+        if admitted.route.is_repeatable():
+            return
+        limits = EscalationLimits(self._cutoff, self._tried, self._failed)
+        larger = self._escalation.choose(
+            admitted, self._models, UNCHECKED_CONFIDENCE, limits
+        )
+        if larger is not None:
+            self._models = self._models.escalate()
+            self._next_choice = larger.choice
+
     def _run_attempts(self) -> None:
         while True:
             try:
--- a/tests/test_at_most_once.py
+++ b/tests/test_at_most_once.py
@@ -100,12 +100,69 @@
         assert find_ids(response) == [1, 2, 3, 4]
         assert list_models(relay) == ['large', 'small']
 
-    def test_larger_model_is_an_attempt(self, relay: RelayHarness) -> None:
+    def test_larger_model_counts_as_an_attempt(
+        self, relay: RelayHarness
+    ) -> None:
         change_route(relay, 'auto', maxAttempts=1)
         assert relay.send('/auto/x').is_finished
         assert len(relay.runs()) == 1
 
 
+class TestFirstModel:
+    """Where no larger model may be asked afterwards, the largest is first."""
+
+    @pytest.fixture
+    def single(self, relay: RelayHarness) -> RelayHarness:
+        """Return a relay whose streams may run once."""
+        change_route(relay, 'auto', streamResumption=False)
+        return relay
+
+    # Guards against poor answers as the only ones that a caller can get.
+    def test_largest_model_answers(self, single: RelayHarness) -> None:
+        assert single.send('/auto/x').is_finished
+        assert list_models(single) == ['large']
+
+    # Guards against late answers while the smallest model would be in time.
+    def test_smallest_model_answers_if_the_largest_would_be_late(
+        self, single: RelayHarness
+    ) -> None:
+        single.metrics.record_seconds(('auto', 'large'), 1.0)
+        assert single.send('/auto/x').is_finished
+        assert list_models(single) == ['small']
+
+    def test_refusals_by_all_endpoints_run_nothing(
+        self, single: RelayHarness
+    ) -> None:
+        for replica in single.replicas:
+            replica.model_faults = {'large': 'shed'}
+        error = single.send('/auto/x').error
+        assert error is not None
+        assert error.status == 503
+        assert not single.runs()
+
+    def test_refusal_of_the_largest_model_is_retried(
+        self, single: RelayHarness
+    ) -> None:
+        single.replicas[0].model_faults = {'large': 'shed'}
+        for _ in range(4):
+            assert single.send('/auto/x').is_finished
+        assert list_models(single) == ['large'] * 4
+
+    def test_model_that_the_caller_named_is_kept(
+        self, single: RelayHarness
+    ) -> None:
+        assert single.send('/auto/x', X_Model='middle').is_finished
+        assert list_models(single) == ['middle']
+
+    def test_resumable_stream_asks_the_smallest_model_first(
+        self, relay: RelayHarness
+    ) -> None:
+        for replica in relay.replicas:
+            replica.model_confidence['small'] = 95
+        assert relay.send('/auto/x').is_finished
+        assert list_models(relay) == ['small']
+
+
 class TestFailures:
     """No failure of an endpoint makes a request that may run once run twice."""
 
